Add the thinnest whole path: caller, entry, backend server, configured through the log

Cause: the repository was empty. Change: a root module with the shared packages (loader, appender, publisher, controller, picker, forwarder, recorder, balancer, emulator, examples) and one module each for savoryroad, savoryctl and savorybench.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PACKAGES = ./... ./savoryroad/... ./savoryctl/... ./savorybench/...
+
+.PHONY: build demo test check bench fuzz soak format
+
+build:
+	go build -o bin/ ./savoryroad ./savoryctl ./savorybench
+
+demo:
+	go run ./savorybench demo
+
+test:
+	go test -race $(PACKAGES)
+
+check:
+	@test -z "$$(go tool gofumpt -l .)" || { go tool gofumpt -l .; echo "run: make format"; exit 1; }
+	go vet $(PACKAGES)
+	go tool revive -config .revive.toml -set_exit_status -exclude './**/*_string.go' $(PACKAGES)
+
+format:
+	go tool gofumpt -w .
+
+bench:
+	go test -run '^$$' -bench . -benchmem $(PACKAGES)
+	go run ./savorybench added
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzRender -fuzztime 30s ./loader
+
+soak:
+	RAPID_CHECKS=10000 go test $(PACKAGES) -run Property -rapid.checks=10000
--- /dev/null
+++ b/balancer/server.go
@@ -0,0 +1,118 @@
+package balancer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	stdlog "log"
+
+	"github.com/cockroachdb/errors"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rs/zerolog"
+
+	"savoryroad.dev/controller"
+	"savoryroad.dev/loader"
+	"savoryroad.dev/publisher"
+)
+
+// drainedServer tells when its server has finished its last call.
+type drainedServer struct {
+	*khttp.Server
+	drained chan struct{}
+	logger  zerolog.Logger
+}
+
+// Stop waits for the calls in flight, until the context ends.
+func (s drainedServer) Stop(ctx context.Context) error {
+	defer close(s.drained)
+	err := s.Server.Stop(ctx)
+	if err != nil {
+		s.logger.Warn().Err(err).Msg("drain timeout is over; closing connections")
+		return s.Server.Close()
+	}
+	return nil
+}
+
+// lastServer stops its server only after callers are drained.
+type lastServer struct {
+	*khttp.Server
+	after <-chan struct{}
+}
+
+// Stop waits for its turn and then stops the server.
+func (s lastServer) Stop(context.Context) error {
+	<-s.after
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	if err := s.Server.Stop(ctx); err != nil {
+		return s.Server.Close()
+	}
+	return nil
+}
+
+// task is a goroutine of the run group.
+type task struct {
+	// after is closed when the task may end; nil means at once.
+	after  <-chan struct{}
+	run    func(context.Context) error
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newTask(after <-chan struct{}, run func(context.Context) error) task {
+	ctx, cancel := context.WithCancel(context.Background())
+	return task{after: after, run: run, ctx: ctx, cancel: cancel}
+}
+
+// Start runs the task until Stop.
+func (t task) Start(context.Context) error { return t.run(t.ctx) }
+
+// Stop ends the task.
+func (t task) Stop(context.Context) error {
+	if t.after != nil {
+		<-t.after
+	}
+	t.cancel()
+	return nil
+}
+
+// appendSnapshot appends a record and reports the outcome to the loop.
+func (b *Balancer) appendSnapshot(data []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+	defer cancel()
+	o := b.log.Append(ctx, publisher.Stream, data)
+	b.loop.Send(ctx, controller.SnapshotDoneMsg{Outcome: o})
+}
+
+// serverTLS reads the keys of an endpoint.
+func serverTLS(t loader.TLS) (*tls.Config, error) {
+	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "TLS keys")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		MinVersion:   tls.VersionTLS12,
+		NextProtos:   []string{"h2", "http/1.1"},
+	}, nil
+}
+
+// quietLogger drops the application framework's lines; the entry writes its
+// own.
+type quietLogger struct{}
+
+// Log drops the line.
+func (quietLogger) Log(kratoslog.Level, ...any) error { return nil }
+
+func discardLogger() *stdlog.Logger { return stdlog.New(io.Discard, "", 0) }
+
+// noSignal is a signal that never arrives. The application framework needs at
+// least one, since an empty list would mean every signal.
+type noSignal struct{}
+
+// String names the signal.
+func (noSignal) String() string { return "none" }
+
+// Signal marks the type as a signal.
+func (noSignal) Signal() {}
--- /dev/null
+++ b/emulator/fleet.go
@@ -0,0 +1,259 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"savoryroad.dev/balancer"
+	"savoryroad.dev/loader"
+	"savoryroad.dev/publisher"
+)
+
+// loopback is an address with a free port.
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// TargetKey names one target of a configuration.
+type TargetKey struct {
+	Service loader.ServiceName
+	Target  loader.TargetName
+}
+
+// Fleet is a whole system on loopback: a log service, backend servers for
+// every target of a configuration, and entries, which run the real code.
+type Fleet struct {
+	// Log is the log service; LogURL is where it is served.
+	Log    *Log
+	LogURL string
+	// Entries are the running entries.
+	Entries []*FleetEntry
+	// Backends holds the backend servers.
+	Backends map[TargetKey]*Backend
+	// Base is the base document as it was published, in canonical JSON.
+	Base []byte
+	// Published is how the configuration was accepted.
+	Published publisher.Accepted
+
+	opts    FleetOptions
+	servers []*Server
+	// addresses holds where the backend servers listen.
+	addresses map[TargetKey]string
+}
+
+// FleetEntry is one running entry.
+type FleetEntry struct {
+	*balancer.Balancer
+	// Name is the entry's name.
+	Name loader.EntryName
+	stop context.CancelFunc
+	done chan error
+}
+
+// FleetOptions describe a fleet.
+type FleetOptions struct {
+	// Base is the base document; its targets' addresses are replaced.
+	Base loader.Document
+	// Entries is the number of entries.
+	Entries int
+	// Mode is how the backend servers behave at first.
+	Mode BackendMode
+	// Retention is how long the log keeps a record.
+	Retention time.Duration
+	// Seed draws everything random.
+	Seed uint64
+	// Logger receives the entries' lines.
+	Logger zerolog.Logger
+}
+
+// NewFleet starts a fleet and returns once its entries are ready. Close ends
+// it.
+func NewFleet(ctx context.Context, o FleetOptions) (*Fleet, error) {
+	f := &Fleet{
+		Log:       NewLog(o.Retention, o.Seed),
+		Backends:  map[TargetKey]*Backend{},
+		addresses: map[TargetKey]string{},
+		opts:      o,
+	}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	s, err := f.serve(f.Log)
+	if err != nil {
+		return err
+	}
+	f.LogURL = "http://" + s.Addr.String()
+	if err := f.startBackends(); err != nil {
+		return err
+	}
+	if err := f.publishBase(ctx); err != nil {
+		return err
+	}
+	for range f.opts.Entries {
+		if _, err := f.AddEntry(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) serve(h http.Handler) (*Server, error) {
+	s, err := Serve(loopback.String(), h)
+	if err == nil {
+		f.servers = append(f.servers, s)
+	}
+	return s, err
+}
+
+// startBackends starts a backend server for each target and puts its address
+// into the base.
+func (f *Fleet) startBackends() error {
+	cfg, findings := loader.Render(f.opts.Base, loader.Document{})
+	if err := findings.Err(); err != nil {
+		return err
+	}
+	services := map[loader.ServiceName]any{}
+	for name, service := range cfg.Services {
+		targets := map[loader.TargetName]any{}
+		for targetName, t := range service.Targets {
+			b := NewBackend(t.Slots, f.opts.Mode, f.opts.Seed+uint64(len(f.Backends)))
+			s, err := f.serve(b)
+			if err != nil {
+				return err
+			}
+			key := TargetKey{name, targetName}
+			f.Backends[key] = b
+			f.addresses[key] = s.Addr.String()
+			targets[targetName] = map[string]string{"Address": s.Addr.String()}
+		}
+		services[name] = map[string]any{"Targets": targets}
+	}
+	return f.patchBase(map[string]any{
+		"Entries":   fmt.Sprint(f.opts.Entries),
+		"Retention": f.opts.Retention.String(),
+		"Services":  services,
+	})
+}
+
+func (f *Fleet) patchBase(patch map[string]any) error {
+	base, err := f.opts.Base.JSON()
+	if err != nil {
+		return err
+	}
+	p, err := json.Marshal(patch)
+	if err != nil {
+		return err
+	}
+	s, err := publisher.State{Base: base}.Apply(publisher.Change{Base: p})
+	f.Base = s.Base
+	return err
+}
+
+func (f *Fleet) publishBase(ctx context.Context) error {
+	change, err := publisher.State{}.Diff(f.Base, nil)
+	if err != nil {
+		return err
+	}
+	change.ID = "first"
+	change.Author = "fleet"
+	return f.Publish(ctx, change)
+}
+
+// Publish publishes a change, and fails unless it is accepted.
+func (f *Fleet) Publish(ctx context.Context, c publisher.Change) error {
+	r, _, err := publisher.Load(ctx, f.Log)
+	if err != nil {
+		return err
+	}
+	c.Expected = r.State.Revision
+	switch res := publisher.Publish(ctx, f.Log, r, c).(type) {
+	case publisher.Published:
+		f.Published = res.Accepted
+		return nil
+	default:
+		return errors.Newf("publish: %+v", res)
+	}
+}
+
+// AddEntry starts one more entry and waits until it is ready.
+func (f *Fleet) AddEntry(ctx context.Context) (*FleetEntry, error) {
+	n := len(f.Entries) + 1
+	s := loader.Settings{
+		Name:          loader.EntryName(fmt.Sprintf("entry-%02d", n)),
+		DataCentre:    "Stand-in",
+		Listen:        loopback,
+		Operator:      loopback,
+		Log:           loader.Address(f.LogURL),
+		DrainTimeout:  time.Minute,
+		HeaderTimeout: 10 * time.Second,
+		StallTimeout:  time.Minute,
+		IdleTimeout:   time.Minute,
+	}
+	b, err := balancer.New(s,
+		balancer.WithLogger(f.opts.Logger),
+		balancer.WithSeed(f.opts.Seed+uint64(n)),
+	)
+	if err != nil {
+		return nil, err
+	}
+	runCtx, stop := context.WithCancel(context.Background())
+	e := &FleetEntry{Balancer: b, Name: s.Name, stop: stop, done: make(chan error, 1)}
+	f.Entries = append(f.Entries, e)
+	go func() { e.done <- b.Run(runCtx) }()
+	return e, e.waitReady(ctx)
+}
+
+// waitReady polls, since an entry has no one to tell.
+func (e *FleetEntry) waitReady(ctx context.Context) error {
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for !e.Ready() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%s is not ready", e.Name)
+		}
+	}
+	return nil
+}
+
+// Stop ends the entry gracefully and waits for it.
+func (e *FleetEntry) Stop() error {
+	e.stop()
+	return <-e.done
+}
+
+// BackendAddress returns where a backend server listens.
+func (f *Fleet) BackendAddress(k TargetKey) string { return f.addresses[k] }
+
+// Addresses lists where callers reach the entries.
+func (f *Fleet) Addresses() []string {
+	var all []string
+	for _, e := range f.Entries {
+		all = append(all, e.CallersAddr().String())
+	}
+	return all
+}
+
+// Close ends the entries gracefully, and then everything else.
+func (f *Fleet) Close() {
+	var g errgroup.Group
+	for _, e := range f.Entries {
+		g.Go(e.Stop)
+	}
+	_ = g.Wait()
+	for _, s := range f.servers {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/forwarder/backend.go
@@ -0,0 +1,120 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"savoryroad.dev/loader"
+	"savoryroad.dev/picker"
+	"savoryroad.dev/recorder"
+)
+
+const (
+	// maxResponseHeaderBytes bounds a backend server's answer headers.
+	maxResponseHeaderBytes = 256 << 10
+	// continueTimeout is how long a body waits for "100 Continue".
+	continueTimeout = time.Second
+	// keepAlivePeriod is the interval of TCP keep-alive probes.
+	keepAlivePeriod = 15 * time.Second
+)
+
+// backend is one backend server as this entry knows it. It outlives
+// configurations that leave its address as it was.
+type backend struct {
+	name   loader.TargetName
+	target loader.Target
+	// outstanding counts this entry's calls; the service's lock guards it.
+	outstanding int
+	// index is the place in the service's pool, or -1 once the configuration
+	// dropped the target; the service's lock guards it.
+	index picker.Index
+	// pooled keeps connections between calls.
+	pooled *http.Transport
+	// fresh opens a connection for every call, so that a call is never sent
+	// on a connection that its server is just closing.
+	fresh *http.Transport
+	stats backendStats
+}
+
+// backendStats are the metrics of one target.
+type backendStats struct {
+	outcomes [Cancelled + 1]metrics.Counter
+	latency  metrics.Histogram
+	connects metrics.Counter
+}
+
+// newBackend returns a backend whose connections, used and idle, stay below
+// its share of the target's limit.
+func newBackend(service loader.ServiceName, name loader.TargetName, t loader.Target, d loader.TargetDefaults, share int, rec *recorder.Recorder) *backend {
+	b := &backend{name: name, target: t, index: -1}
+	b.stats = newBackendStats(service, name, t, rec)
+	idle := share - callLimit(t, share)
+	b.pooled = newTransport(b, d, share)
+	b.pooled.MaxIdleConnsPerHost = max(idle, 1)
+	b.pooled.DisableKeepAlives = idle == 0
+	b.fresh = newTransport(b, d, share)
+	b.fresh.DisableKeepAlives = true
+	return b
+}
+
+// callLimit bounds the calls that one entry has outstanding at a target, so
+// that calls and idle connections together fit in the entry's share.
+func callLimit(t loader.Target, share int) int {
+	return max(min(t.Slots, (share+1)/2), 1)
+}
+
+func newTransport(b *backend, d loader.TargetDefaults, share int) *http.Transport {
+	dialer := &net.Dialer{
+		Timeout:         d.ConnectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 3},
+	}
+	address := b.target.Address.String()
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			b.stats.connects.Inc(1)
+			return dialer.DialContext(ctx, "tcp", address)
+		},
+		MaxConnsPerHost:        share,
+		IdleConnTimeout:        d.IdleTimeout,
+		ExpectContinueTimeout:  continueTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DisableCompression:     true,
+		Protocols:              protocols,
+	}
+}
+
+func newBackendStats(service loader.ServiceName, name loader.TargetName, t loader.Target, rec *recorder.Recorder) backendStats {
+	labels := []recorder.Label{
+		{Name: "service", Value: string(service)},
+		{Name: "target", Value: string(name)},
+		{Name: "data_centre", Value: string(t.DataCentre)},
+	}
+	var s backendStats
+	for o := range s.outcomes {
+		with := append(labels[:len(labels):len(labels)], recorder.Label{Name: "outcome", Value: Outcome(o).String()})
+		s.outcomes[o] = rec.Counter("target_sends_total", with...)
+	}
+	s.latency = rec.Histogram("target_latency_us", labels...)
+	s.connects = rec.Counter("target_connects_total", labels...)
+	return s
+}
+
+// transport returns the connections that calls of a class use.
+func (b *backend) transport(c loader.Class) *http.Transport {
+	if c == loader.AtMostOnce {
+		return b.fresh
+	}
+	return b.pooled
+}
+
+// close drops the idle connections; calls in flight go on.
+func (b *backend) close() {
+	b.pooled.CloseIdleConnections()
+	b.fresh.CloseIdleConnections()
+}
--- /dev/null
+++ b/forwarder/header.go
@@ -0,0 +1,102 @@
+package forwarder
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// hopByHop are the headers that speak of one connection only (RFC 9110,
+// section 7.6.1).
+var hopByHop = []string{
+	"Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// via is this hop's entry in the Via header (RFC 9110, section 7.6.3).
+const via = "savoryroad"
+
+// copyEndToEnd adds the headers that are meant for the other end.
+func copyEndToEnd(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = append(dst[name], values...)
+	}
+	for _, field := range src["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			dst.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(dst, name)
+	}
+}
+
+// outgoingHeader returns the headers towards a backend server.
+func outgoingHeader(r *http.Request, requestID string, left time.Duration) http.Header {
+	h := make(http.Header, len(r.Header)+6)
+	copyEndToEnd(h, r.Header)
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil
+	}
+	if headerHasToken(r.Header, "Te", "trailers") {
+		h["Te"] = []string{"trailers"}
+	}
+	addForwarded(h, r)
+	h.Add("Via", strconv.Itoa(r.ProtoMajor)+"."+strconv.Itoa(r.ProtoMinor)+" "+via)
+	h[RequestIDHeader] = []string{requestID}
+	h.Set(TimeoutHeader, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	return h
+}
+
+// addForwarded says who called and how (RFC 7239, and its older kin).
+func addForwarded(h http.Header, r *http.Request) {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return
+	}
+	proto := "http"
+	if r.TLS != nil {
+		proto = "https"
+	}
+	node := host
+	if strings.Contains(host, ":") {
+		node = `"[` + host + `]"`
+	}
+	h.Add("Forwarded", "for="+node+";proto="+proto)
+	if prior := h.Get("X-Forwarded-For"); prior != "" {
+		host = prior + ", " + host
+	}
+	h["X-Forwarded-For"] = []string{host}
+	h["X-Forwarded-Proto"] = []string{proto}
+	h["X-Forwarded-Host"] = []string{r.Host}
+}
+
+// headerHasToken tells whether a comma separated header contains a token.
+func headerHasToken(h http.Header, name, token string) bool {
+	for _, field := range h[name] {
+		for part := range strings.SplitSeq(field, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// callerTimeout returns the caller's own deadline, or 0.
+func callerTimeout(r *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get(TimeoutHeader), 10, 32)
+	if err != nil || ms <= 0 {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/forwarder/send.go
@@ -0,0 +1,112 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"savoryroad.dev/loader"
+)
+
+// LoadHeader is the header by which a backend server may report, on each
+// answer, how many calls it has in flight.
+const LoadHeader = "Savoryroad-Load"
+
+// sent is what became of one send: gotAnswer or gotNothing.
+type sent interface{ sent() }
+
+// gotAnswer holds the beginning of an answer, whose body is still to come.
+type gotAnswer struct {
+	resp *http.Response
+	// outcome is Answered, Failed, or NotRun for a status by which the
+	// backend server refuses calls.
+	outcome Outcome
+}
+
+// gotNothing says that no answer began.
+type gotNothing struct {
+	// outcome is NotRun or OutcomeUnknown.
+	outcome Outcome
+	cause   error
+}
+
+func (gotAnswer) sent()  {}
+func (gotNothing) sent() {}
+
+// emptyBody is a body without bytes that is not http.NoBody. The transport
+// sends a request that has one on a single connection only, whatever its
+// method and headers; in particular it does not repeat a request because it
+// carries an Idempotency-Key.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
+
+// send sends the call to a backend once and waits for the answer's headers.
+func (c *call) send(ctx context.Context, b *backend) sent {
+	start := time.Now()
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected = true
+		if !info.Reused {
+			c.timing.connect += time.Since(start)
+		}
+	}}
+	req := c.outgoing(httptrace.WithClientTrace(ctx, trace), b)
+	resp, err := b.transport(c.route.Class).RoundTrip(req)
+	c.timing.backend = time.Since(start) - c.timing.connect
+	if err != nil {
+		// Without a connection nothing can have reached the backend server.
+		// With one the headers may be on their way even after an error.
+		outcome := NotRun
+		if connected {
+			outcome = OutcomeUnknown
+		}
+		return gotNothing{outcome: outcome, cause: err}
+	}
+	if load, err := strconv.Atoi(resp.Header.Get(LoadHeader)); err == nil && load >= 0 {
+		c.route.service.report(b, load)
+	}
+	return gotAnswer{resp: resp, outcome: c.judge(resp.StatusCode)}
+}
+
+// judge tells what a status says of the handler's run.
+func (c *call) judge(status int) Outcome {
+	switch {
+	case slices.Contains(c.route.notRunStatuses, status):
+		return NotRun
+	case status >= http.StatusInternalServerError:
+		return Failed
+	default:
+		return Answered
+	}
+}
+
+// outgoing returns the request towards a backend.
+func (c *call) outgoing(ctx context.Context, b *backend) *http.Request {
+	r := c.request
+	deadline, _ := ctx.Deadline()
+	req := &http.Request{
+		Method:        r.Method,
+		URL:           &url.URL{Scheme: "http", Host: b.target.Address.String(), Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        outgoingHeader(r, c.requestID, time.Until(deadline)),
+		Host:          r.Host,
+		ContentLength: r.ContentLength,
+		Trailer:       r.Trailer,
+	}
+	switch {
+	case c.body != nil:
+		req.Body = c.body
+	case c.route.Class == loader.AtMostOnce:
+		req.Body = emptyBody{}
+	}
+	return req.WithContext(ctx)
+}
--- /dev/null
+++ b/forwarder/service.go
@@ -0,0 +1,269 @@
+package forwarder
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"savoryroad.dev/loader"
+	"savoryroad.dev/picker"
+	"savoryroad.dev/recorder"
+)
+
+// maxRepeatTokens bounds how many repeats a quiet service can save up.
+const maxRepeatTokens = 20
+
+var (
+	errQueueFull = errors.New("the queue is full")
+	errWaitOver  = errors.New("no backend server had room in time")
+	errNoTarget  = errors.New("no backend server takes new work")
+)
+
+// service is what an entry knows of one service. It outlives configurations.
+type service struct {
+	name  loader.ServiceName
+	rec   *recorder.Recorder
+	stats serviceStats
+
+	// mu guards all below. Traffic holds it for one choice at a time.
+	mu       sync.Mutex
+	settings loader.Service
+	pool     *picker.Pool
+	// backends holds the targets in the order of the pool's members.
+	backends []*backend
+	rng      *rand.Rand
+	// waiters are the calls that wait for room, the oldest first. None waits
+	// while a member has room.
+	waiters []*waiter
+	// repeatTokens is the number of repeats that the budget still allows.
+	repeatTokens float64
+}
+
+// serviceStats are the metrics of one service.
+type serviceStats struct {
+	outcomes [Cancelled + 1]metrics.Counter
+	wait     metrics.Histogram
+	latency  metrics.Histogram
+	repeats  metrics.Counter
+	waiting  metrics.Gauge
+}
+
+// waiter is one call that waits for room.
+type waiter struct {
+	// granted receives the backend, once; its capacity is 1.
+	granted chan *backend
+}
+
+func newService(name loader.ServiceName, rec *recorder.Recorder, seed uint64) *service {
+	s := &service{
+		name:         name,
+		rec:          rec,
+		rng:          rand.New(rand.NewPCG(seed, uint64(len(name)))),
+		repeatTokens: maxRepeatTokens,
+	}
+	label := recorder.Label{Name: "service", Value: string(name)}
+	for o := range s.stats.outcomes {
+		s.stats.outcomes[o] = rec.Counter("calls_total", label, recorder.Label{Name: "outcome", Value: Outcome(o).String()})
+	}
+	s.stats.wait = rec.Histogram("call_wait_us", label)
+	s.stats.latency = rec.Histogram("call_latency_us", label)
+	s.stats.repeats = rec.Counter("call_repeats_total", label)
+	s.stats.waiting = rec.Gauge("calls_waiting", label)
+	return s
+}
+
+// configure takes over a new configuration. Targets at the same address with
+// the same limits keep their connections and their outstanding calls.
+func (s *service) configure(cfg loader.Config, settings loader.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := map[loader.TargetName]*backend{}
+	for _, b := range s.backends {
+		b.index = -1
+		old[b.name] = b
+	}
+	sameDefaults := s.settings.Defaults == settings.Defaults
+	s.backends = nil
+	var members []picker.Member
+	for _, name := range slices.Sorted(maps.Keys(settings.Targets)) {
+		t := settings.Targets[name]
+		share := max(t.Connections/cfg.Entries, 1)
+		b, ok := old[name]
+		if ok && sameDefaults && sameBackend(b.target, t) {
+			delete(old, name)
+			b.target = t
+		} else {
+			b = newBackend(s.name, name, t, settings.Defaults, share, s.rec)
+		}
+		b.index = picker.Index(len(members))
+		s.backends = append(s.backends, b)
+		members = append(members, picker.Member{
+			Limit:       memberLimit(cfg, t, share),
+			Outstanding: b.outstanding,
+		})
+	}
+	s.settings = settings
+	s.pool = picker.New(settings.Policy, s.rng, members)
+	for _, b := range old {
+		b.close()
+	}
+	s.grantWaiters()
+}
+
+// sameBackend tells whether a target's connections can be kept.
+func sameBackend(a, b loader.Target) bool {
+	a.State = b.State
+	return a == b
+}
+
+// memberLimit is 0 where operators want no new work.
+func memberLimit(cfg loader.Config, t loader.Target, share int) int {
+	if t.State == loader.Draining || cfg.DataCentres[t.DataCentre].State == loader.Out {
+		return 0
+	}
+	return callLimit(t, share)
+}
+
+// drop ends the service; calls in flight go on, and those that wait are told.
+func (s *service) drop() {
+	s.configure(loader.Config{Entries: 1}, loader.Service{})
+}
+
+// acquire returns a backend with room, not among those to avoid if any other
+// will do, and counts the call as outstanding there. It waits for room until
+// the context ends or maxWait is over.
+func (s *service) acquire(ctx context.Context, maxWait time.Duration, avoid []*backend) (*backend, error) {
+	s.mu.Lock()
+	if b, ok := s.pick(avoid); ok {
+		s.mu.Unlock()
+		return b, nil
+	}
+	if !s.anyLimit() {
+		s.mu.Unlock()
+		return nil, errNoTarget
+	}
+	if maxWait <= 0 || len(s.waiters) >= s.settings.Queue {
+		s.mu.Unlock()
+		return nil, errQueueFull
+	}
+	w := &waiter{granted: make(chan *backend, 1)}
+	s.waiters = append(s.waiters, w)
+	s.stats.waiting.Update(int64(len(s.waiters)))
+	s.mu.Unlock()
+
+	timer := time.NewTimer(maxWait)
+	defer timer.Stop()
+	select {
+	case b := <-w.granted:
+		return b, nil
+	case <-timer.C:
+		return s.giveUp(w, errWaitOver)
+	case <-ctx.Done():
+		return s.giveUp(w, ctx.Err())
+	}
+}
+
+// giveUp takes a waiter out of the queue. One that was granted a backend at
+// the same moment keeps it.
+func (s *service) giveUp(w *waiter, cause error) (*backend, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.waiters, w); i >= 0 {
+		s.waiters = slices.Delete(s.waiters, i, i+1)
+		s.stats.waiting.Update(int64(len(s.waiters)))
+		return nil, cause
+	}
+	return <-w.granted, nil
+}
+
+// release counts a call as no longer outstanding, and lets the oldest waiter
+// have the room.
+func (s *service) release(b *backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b.outstanding--
+	if b.index >= 0 {
+		s.pool.Release(b.index)
+	}
+	s.grantWaiters()
+}
+
+// report notes the load that a backend server carried on an answer.
+func (s *service) report(b *backend, load int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b.index >= 0 {
+		s.pool.Report(b.index, load)
+	}
+}
+
+// earnRepeat adds the share of a repeat that each first send earns.
+func (s *service) earnRepeat() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	earned := float64(s.settings.Retry.BudgetPercent) / 100
+	s.repeatTokens = min(s.repeatTokens+earned, maxRepeatTokens)
+}
+
+// spendRepeat takes one repeat from the budget, if it holds one.
+func (s *service) spendRepeat() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.settings.Retry.BudgetPercent == 0 || s.repeatTokens < 1 {
+		return false
+	}
+	s.repeatTokens--
+	s.stats.repeats.Inc(1)
+	return true
+}
+
+// pick chooses a backend; the caller holds the lock.
+func (s *service) pick(avoid []*backend) (*backend, bool) {
+	var indexes []picker.Index
+	for _, b := range avoid {
+		if b.index >= 0 {
+			indexes = append(indexes, b.index)
+		}
+	}
+	i, ok := s.pool.Pick(indexes)
+	if !ok && len(indexes) > 0 {
+		i, ok = s.pool.Pick(nil)
+	}
+	if !ok {
+		return nil, false
+	}
+	b := s.backends[i]
+	b.outstanding++
+	return b, true
+}
+
+// anyLimit tells whether any target takes new work at all; the caller holds
+// the lock.
+func (s *service) anyLimit() bool {
+	for i := range s.backends {
+		if s.pool.Member(picker.Index(i)).Limit > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// grantWaiters hands room to the oldest waiters; the caller holds the lock.
+func (s *service) grantWaiters() {
+	for len(s.waiters) > 0 {
+		b, ok := s.pick(nil)
+		if !ok {
+			return
+		}
+		w := s.waiters[0]
+		s.waiters = slices.Delete(s.waiters, 0, 1)
+		s.stats.waiting.Update(int64(len(s.waiters)))
+		w.granted <- b
+	}
+}
--- /dev/null
+++ b/loader/settings.go
@@ -0,0 +1,92 @@
+package loader
+
+import (
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// EntryName names one entry VM.
+type EntryName string
+
+// Address is the URL of a platform service, such as http://127.0.0.1:7000.
+type Address string
+
+// UnmarshalText reads an http or https URL.
+func (a *Address) UnmarshalText(text []byte) error {
+	u, err := url.Parse(string(text))
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return errors.New("a URL such as http://10.0.0.7:7000")
+	}
+	*a = Address(text)
+	return nil
+}
+
+// Settings are what one entry process learns from its own file.
+type Settings struct {
+	// Name names the entry; it is unique among the entries.
+	Name EntryName `required:"true"`
+	// DataCentre is the data centre that the entry VM stands in.
+	DataCentre DataCentreName `required:"true"`
+	// Site chooses the overlay; left out, it is the name of the data centre.
+	Site SiteName
+	// Listen is the IP address and port for callers.
+	Listen netip.AddrPort `required:"true"`
+	// Operator is the IP address and port of the operator endpoint.
+	Operator netip.AddrPort `required:"true"`
+	// Log is the URL of the platform's log service.
+	Log Address `required:"true"`
+	// TLS holds the keys towards callers; left out, callers use plain HTTP.
+	TLS TLS
+	// DrainTimeout bounds the wait for calls in flight at shutdown.
+	DrainTimeout time.Duration `default:"10m" min:"1s" max:"24h"`
+	// UnreadyDelay is how long the entry still takes calls after it has
+	// reported itself unready, so that the platform's balancer learns of it.
+	UnreadyDelay time.Duration `default:"2s" min:"0s" max:"5m"`
+	// HeaderTimeout bounds how long a caller takes to send its headers.
+	HeaderTimeout time.Duration `default:"10s" min:"100ms" max:"5m"`
+	// StallTimeout bounds how long a transfer may stand still in either
+	// direction.
+	StallTimeout time.Duration `default:"60s" min:"100ms" max:"1h"`
+	// IdleTimeout closes a caller's connection that carried nothing so long.
+	IdleTimeout time.Duration `default:"2m" min:"1s" max:"1h"`
+}
+
+// TLS names the key files of an endpoint. Both are set, or neither is.
+type TLS struct {
+	// CertFile is the PEM file with the certificate chain.
+	CertFile string
+	// KeyFile is the PEM file with the private key.
+	KeyFile string
+}
+
+// ParseSettings reads the settings of an entry.
+func ParseSettings(file string, data []byte) (Settings, Findings) {
+	var s Settings
+	d, findings := Parse(file, data)
+	t, _ := merge(d, Document{})
+	findings = append(findings, decode(t, &s)...)
+	if (s.TLS.CertFile == "") != (s.TLS.KeyFile == "") {
+		findings = append(findings, d.found(t.root, "TLS", "one of the two key files is missing", "CertFile and KeyFile, or neither")...)
+	}
+	if s.Listen == s.Operator && s.Listen.IsValid() && s.Listen.Port() != 0 {
+		findings = append(findings, d.found(t.root, "Operator", "same address as Listen", "an address of its own")...)
+	}
+	if s.Site == "" {
+		s.Site = SiteName(s.DataCentre)
+	}
+	return s, findings.sorted()
+}
+
+// redacted stands for a value that a dump must not show.
+const redacted = "(redacted)"
+
+// Redacted returns the settings without what leads to keys.
+func (s Settings) Redacted() Settings {
+	if s.TLS.KeyFile != "" {
+		s.TLS.KeyFile = redacted
+	}
+	return s
+}
--- /dev/null
+++ b/savorybench/main.go
@@ -0,0 +1,31 @@
+// Command savorybench is the load and experiment tool: it starts stand-ins for
+// the platform, backend servers and callers around real entries.
+//
+//	savorybench demo
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kong"
+)
+
+type program struct {
+	Demo  demoCmd  `cmd:"" help:"Run a whole system in this process, serve callers for a few seconds, print a summary and end. Example: savorybench demo --users sunkissed --entries 3"`
+	Added addedCmd `cmd:"" help:"Measure what an entry adds to a call. Example: savorybench added --rounds 5"`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	var p program
+	k := kong.Parse(&p,
+		kong.Name("savorybench"),
+		kong.Description("Stand-ins, load and experiments for the savoryroad load balancer."),
+		kong.UsageOnError(),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+	)
+	k.FatalIfErrorf(k.Run())
+}
