Close callers' connections politely while draining

Ruled out: the order of drain flag and phase, changed before without effect. Change: hop-by-hop headers are skipped on the way, not deleted afterwards. Before: TestStopCutsOffNoCall 'caller's connection was not closed politely'. After: passes under -race. Conclusion: fixed.

--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -3,23 +3,21 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 )
 
-// hopByHop are the headers that speak of one connection only (RFC 9110,
+// isHopByHop tells whether a header speaks of one connection only (RFC 9110,
 // section 7.6.1).
-var hopByHop = []string{
-	"Connection",
-	"Keep-Alive",
-	"Proxy-Authenticate",
-	"Proxy-Authorization",
-	"Proxy-Connection",
-	"Te",
-	"Trailer",
-	"Transfer-Encoding",
-	"Upgrade",
+func isHopByHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+		"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
+	}
+	return false
 }
 
 // via is this hop's entry in the Via header (RFC 9110, section 7.6.3).
@@ -27,16 +25,17 @@
 
 // copyEndToEnd adds the headers that are meant for the other end.
 func copyEndToEnd(dst, src http.Header) {
-	for name, values := range src {
-		dst[name] = append(dst[name], values...)
-	}
+	var named []string
 	for _, field := range src["Connection"] {
 		for name := range strings.SplitSeq(field, ",") {
-			dst.Del(strings.TrimSpace(name))
+			named = append(named, http.CanonicalHeaderKey(strings.TrimSpace(name)))
 		}
 	}
-	for _, name := range hopByHop {
-		delete(dst, name)
+	for name, values := range src {
+		if isHopByHop(name) || slices.Contains(named, name) {
+			continue
+		}
+		dst[name] = append(dst[name], values...)
 	}
 }
 
