--- a/emulator/backend.go
+++ b/emulator/backend.go
@@ -133,6 +133,10 @@
 	if !hold(r.Context(), b.draw(m)) {
 		return
 	}
+	if size, err := strconv.ParseInt(r.FormValue("bytes"), 10, 64); err == nil {
+		writeZeros(w, size)
+		return
+	}
 	body := answer(r, n, sum.Sum(nil))
 	hash := sha256.Sum256(body)
 	w.Header().Set(BodyHashHeader, hex.EncodeToString(hash[:]))
@@ -144,6 +148,19 @@
 	_, _ = w.Write(body)
 }
 
+// writeZeros answers with a body of that size.
+func writeZeros(w http.ResponseWriter, size int64) {
+	w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	piece := make([]byte, 64<<10)
+	for size > 0 {
+		n, err := w.Write(piece[:min(size, int64(len(piece)))])
+		if err != nil {
+			return
+		}
+		size -= int64(n)
+	}
+}
+
 func (b *Backend) noteRun(key string) {
 	if key == "" {
 		return
