Dispatch each keyed call at most once over the fleet, by shares that the log hands out

Cause: calls that must not run twice were protected at no entry at all. Weighed: (a) an intent record in the log for each call: one append a call, or group commit at tens of ms, and purchases stop with the log; (b) leases on key ranges: unsafe when the holder is paused past its lease; (c) shares of the key space owned by one incarnation, given away by the owner itself or taken when the platform's list says that its VM is gone: no append and no clock a call. (c) is built: registrar (pure fold), deduplicator (memory of keys), messenger (QUIC, mutual TLS, CBOR), peers in the balancer, digests between entries. Ruled out while testing: a handover whose record has an unknown outcome thawed again (it stays frozen and is appended again); eviction of VMs never listed (entries own only after they were listed); list polling that ended before the shares were given away. Callers need UUIDv7 keys; opaque keys are refused as not run.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,10 @@
 	appendTimeout = 10 * time.Second
 	// settleTime is the part of the drain timeout left for closing the rest.
 	settleTime = time.Second
+	// releaseTime bounds the wait for the shares to be given away.
+	releaseTime = 10 * time.Second
+	// releasePoll is the time between two looks whether they are.
+	releasePoll = 20 * time.Millisecond
 )
 
 // Balancer is one entry. Run may be called once.
@@ -42,11 +47,18 @@
 	rec       *recorder.Recorder
 	forwarder *forwarder.Forwarder
 	loop      *controller.Loop
+	peers     *peers
 	app       *kratos.App
 	// callers and operators are the listeners, open since New.
 	callers, operators net.Listener
+	// abort is closed when the entry must end without finishing anything.
+	abort chan struct{}
+	// abortOnce closes abort.
+	abortOnce sync.Once
 	// drained is closed when the last caller's connection has ended.
 	drained chan struct{}
+	// released is closed when, after that, this entry owns no shares.
+	released chan struct{}
 	// started is when New returned.
 	started time.Time
 	seed    uint64
@@ -79,7 +91,9 @@
 		settings: s,
 		logger:   zerolog.New(io.Discard),
 		rec:      recorder.New(),
+		abort:    make(chan struct{}),
 		drained:  make(chan struct{}),
+		released: make(chan struct{}),
 		started:  time.Now(),
 		seed:     rand.Uint64(),
 		signals:  []os.Signal{noSignal{}},
@@ -92,10 +106,16 @@
 	}
 	b.forwarder = forwarder.New(b.rec, forwarder.WithStall(s.StallTimeout), forwarder.WithSeed(b.seed))
 	jitter := rand.New(rand.NewPCG(b.seed, 1)).Float64()
-	b.loop = controller.NewLoop(controller.New(s, jitter), b.carryOut)
 	if err := b.listen(); err != nil {
 		return nil, err
 	}
+	var err error
+	if b.peers, err = newPeers(b); err != nil {
+		b.close()
+		return nil, err
+	}
+	b.forwarder.SetClaimer(b.peers)
+	b.loop = controller.NewLoop(controller.New(s, jitter, b.peers.self), b.carryOut)
 	servers, err := b.servers()
 	if err != nil {
 		b.close()
@@ -160,12 +180,15 @@
 		return nil, err
 	}
 	return []transport.Server{
-		drainedServer{Server: callers, drained: b.drained, logger: b.logger},
+		drainedServer{Server: callers, drained: b.drained, abort: b.abort, logger: b.logger},
 		lastServer{Server: b.operatorServer(), after: b.drained},
-		newTask(b.drained, b.loop.Run),
-		newTask(nil, func(ctx context.Context) error {
+		newTask(b.released, b.loop.Run),
+		newTask(b.released, func(ctx context.Context) error {
 			return controller.Follow(ctx, b.log, b.loop)
 		}),
+		newTask(b.released, b.peers.run),
+		newTask(b.released, b.pollVMs),
+		newTask(nil, b.release),
 	}, nil
 }
 
@@ -202,15 +225,33 @@
 func (b *Balancer) beforeStop(context.Context) error {
 	b.forwarder.Drain()
 	b.loop.Send(context.Background(), controller.StopMsg{})
-	time.Sleep(b.settings.UnreadyDelay)
+	select {
+	case <-time.After(b.settings.UnreadyDelay):
+	case <-b.abort:
+	}
 	return nil
 }
 
+// Abort ends Run at once: calls in flight are cut off, and shares are not
+// given away.
+func (b *Balancer) Abort() {
+	b.abortOnce.Do(func() { close(b.abort) })
+	_ = b.app.Stop()
+}
+
 // carryOut executes one command of the control goroutine.
 func (b *Balancer) carryOut(cmd controller.Cmd) {
 	switch cmd := cmd.(type) {
 	case controller.InstallCmd:
 		b.forwarder.Install(cmd.Revision, cmd.Config)
+	case controller.OwnCmd:
+		b.peers.own(cmd.Table)
+	case controller.GossipCmd:
+		b.peers.kick()
+	case controller.FleetCmd:
+		go b.peers.appendRecord(cmd.Record)
+	case controller.HandoverCmd:
+		go b.peers.handOver(cmd.Transfer)
 	case controller.AppendSnapshotCmd:
 		go b.appendSnapshot(cmd.Data)
 	case controller.LogCmd:
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -6,6 +6,7 @@
 	"io"
 	stdlog "log"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	kratoslog "github.com/go-kratos/kratos/v2/log"
@@ -21,12 +22,22 @@
 type drainedServer struct {
 	*khttp.Server
 	drained chan struct{}
+	abort   <-chan struct{}
 	logger  zerolog.Logger
 }
 
 // Stop waits for the calls in flight, until the context ends.
 func (s drainedServer) Stop(ctx context.Context) error {
 	defer close(s.drained)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-s.abort:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	err := s.Server.Stop(ctx)
 	if err != nil {
 		s.logger.Warn().Err(err).Msg("drain timeout is over; closing connections")
@@ -78,6 +89,30 @@
 	return nil
 }
 
+// release waits, once the callers are drained, until this entry has given its
+// shares away, or until the time for that is over.
+func (b *Balancer) release(context.Context) error {
+	<-b.drained
+	defer close(b.released)
+	if !b.settings.Peers.Enabled() {
+		return nil
+	}
+	end := time.Now().Add(releaseTime)
+	for !b.aborted() && time.Now().Before(end) && b.peers.ownsAny() && b.peers.hasLivePeer() {
+		time.Sleep(releasePoll)
+	}
+	return nil
+}
+
+func (b *Balancer) aborted() bool {
+	select {
+	case <-b.abort:
+		return true
+	default:
+		return false
+	}
+}
+
 // appendSnapshot appends a record and reports the outcome to the loop.
 func (b *Balancer) appendSnapshot(data []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -9,7 +10,10 @@
 	"savoryroad.dev/publisher"
 )
 
-// readPage folds records and puts the newest usable revision in force.
+// keptRecords is the number of records kept for peers that are behind.
+const keptRecords = 256
+
+// readPage folds records of the log.
 func (m Model) readPage(p appender.Page, now time.Time) (Model, []Cmd) {
 	var cmds []Cmd
 	if !m.Log.Up {
@@ -19,24 +23,68 @@
 	m.Log.Up = true
 	m.Log.LastRead = now
 	m.Log.LastError = ""
-
-	before := m.Reader.State.Revision
 	wasSynced := m.Reader.Synced
+	m, more := m.fold(p, now)
+	if wasSynced && !m.Reader.Synced {
+		cmds = append(cmds, LogCmd{Level: zerolog.WarnLevel, Text: "the log forgot changes that were not read; waiting for a snapshot"})
+	}
+	return m, append(cmds, more...)
+}
+
+// fold reads records, from the log or from a peer, and acts on what changed.
+func (m Model) fold(p appender.Page, now time.Time) (Model, []Cmd) {
+	before := m.Reader
 	var verdicts []publisher.Verdict
 	m.Reader, verdicts = m.Reader.Read(p)
 	for _, v := range verdicts {
 		m.Verdicts = m.Verdicts.add(v)
 	}
-	if wasSynced && !m.Reader.Synced {
-		cmds = append(cmds, LogCmd{Level: zerolog.WarnLevel, Text: "the log forgot changes that were not read; waiting for a snapshot"})
+	m.Recent = keepRecent(m.Recent, p.Records, before.Next)
+	return m.advance(before, now)
+}
+
+// adopt takes over a peer's whole state, if it is ahead of this entry's.
+func (m Model) adopt(r publisher.Reader, now time.Time) (Model, []Cmd) {
+	ahead := r.Next > m.Reader.Next || r.Next == m.Reader.Next && !m.Reader.Synced
+	if !r.Synced || !ahead || r.State.Revision < m.Reader.State.Revision {
+		return m, nil
+	}
+	before := m.Reader
+	m.Reader = r
+	m.Recent = nil
+	return m.advance(before, now)
+}
+
+// advance acts on the difference between the reader before and now.
+func (m Model) advance(before publisher.Reader, now time.Time) (Model, []Cmd) {
+	var cmds []Cmd
+	if m.Reader.Next != before.Next {
+		cmds = append(cmds, GossipCmd{})
 	}
-	if m.Reader.State.Revision == before {
+	if len(m.Reader.State.Fleet.Held) > 0 && !slices.Equal(m.Reader.State.Fleet.Held, before.State.Fleet.Held) {
+		cmds = append(cmds, OwnCmd{Table: m.Reader.State.Fleet})
+	}
+	if m.Reader.State.Revision == before.State.Revision {
 		return m, cmds
 	}
 	m, more := m.install(now)
 	return m, append(cmds, more...)
 }
 
+// keepRecent appends the records from an offset on to those kept for peers.
+func keepRecent(kept, records []appender.Record, from appender.Offset) []appender.Record {
+	out := slices.Clone(kept)
+	for _, r := range records {
+		if r.Offset >= from {
+			out = append(out, r)
+		}
+	}
+	if n := len(out); n > keptRecords {
+		out = out[n-keptRecords:]
+	}
+	return out
+}
+
 // install renders the newest revision. One that has findings leaves the one
 // in force as it is.
 func (m Model) install(now time.Time) (Model, []Cmd) {
@@ -92,6 +140,8 @@
 		c.Repeated++
 	case publisher.Keep:
 		c.Snapshots++
+	case publisher.Move:
+		c.Moves++
 	case publisher.Junk:
 		c.Junk++
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -17,6 +17,7 @@
 	"savoryroad.dev/appender"
 	"savoryroad.dev/loader"
 	"savoryroad.dev/publisher"
+	"savoryroad.dev/registrar"
 )
 
 //go:generate go tool stringer -type=Phase -output=phase_string.go
@@ -62,13 +63,17 @@
 	Log LogLink
 	// Snapshot is the duty to keep the configuration in the log.
 	Snapshot SnapshotDuty
+	// Recent holds the latest records read, without gaps, for peers.
+	Recent []appender.Record
+	// Fleet is this entry's part in owning the fleet's shares.
+	Fleet FleetDuty
 	// Retention is the log's, as the configuration in force states it.
 	Retention time.Duration
 }
 
 // VerdictCounts counts the records read, by what became of them.
 type VerdictCounts struct {
-	Accepted, Rejected, Repeated, Snapshots, Junk int
+	Accepted, Rejected, Repeated, Snapshots, Moves, Junk int
 }
 
 // LogLink is what the entry knows of its link to the log service.
@@ -96,13 +101,31 @@
 	LastTry time.Time
 }
 
-// Msg is something that happened: PageMsg, ReadFailedMsg, TickMsg,
-// SnapshotDoneMsg or StopMsg.
+// Msg is something that happened.
 type Msg interface{ msg() }
 
 // PageMsg brings records of the configuration stream.
 type PageMsg struct{ Page appender.Page }
 
+// PeerPageMsg brings records that a peer has read.
+type PeerPageMsg struct{ Page appender.Page }
+
+// PeerStateMsg brings the whole state of a peer.
+type PeerStateMsg struct{ Reader publisher.Reader }
+
+// PeerSeenMsg says that a peer was heard of.
+type PeerSeenMsg struct {
+	Peer registrar.Owner
+	// Stopping is set when the peer takes no shares any more.
+	Stopping bool
+}
+
+// VMsMsg brings the platform's list of the VMs that there are.
+type VMsMsg struct{ Names []loader.EntryName }
+
+// FleetDoneMsg says that a ClaimCmd or a HandoverCmd is over.
+type FleetDoneMsg struct{ Err error }
+
 // ReadFailedMsg says that the log could not be read.
 type ReadFailedMsg struct{ Err error }
 
@@ -116,13 +139,17 @@
 type StopMsg struct{}
 
 func (PageMsg) msg()         {}
+func (PeerPageMsg) msg()     {}
+func (PeerStateMsg) msg()    {}
+func (PeerSeenMsg) msg()     {}
+func (VMsMsg) msg()          {}
+func (FleetDoneMsg) msg()    {}
 func (ReadFailedMsg) msg()   {}
 func (TickMsg) msg()         {}
 func (SnapshotDoneMsg) msg() {}
 func (StopMsg) msg()         {}
 
-// Cmd is an effect for others to carry out: InstallCmd, AppendSnapshotCmd or
-// LogCmd.
+// Cmd is an effect for others to carry out.
 type Cmd interface{ cmd() }
 
 // InstallCmd puts a configuration in force.
@@ -134,6 +161,19 @@
 // AppendSnapshotCmd appends a record to the configuration stream.
 type AppendSnapshotCmd struct{ Data []byte }
 
+// OwnCmd tells traffic who owns which share.
+type OwnCmd struct{ Table registrar.Table }
+
+// GossipCmd tells some peers at once how far this entry has read.
+type GossipCmd struct{}
+
+// FleetCmd appends a record about shares; FleetDoneMsg ends it.
+type FleetCmd struct{ Record registrar.Record }
+
+// HandoverCmd gives shares to a peer: first the memory of their keys, then the
+// record; FleetDoneMsg ends it.
+type HandoverCmd struct{ Transfer registrar.Transfer }
+
 // LogCmd writes one line about a change of state.
 type LogCmd struct {
 	Level zerolog.Level
@@ -144,16 +184,21 @@
 
 func (InstallCmd) cmd()        {}
 func (AppendSnapshotCmd) cmd() {}
+func (OwnCmd) cmd()            {}
+func (GossipCmd) cmd()         {}
+func (FleetCmd) cmd()          {}
+func (HandoverCmd) cmd()       {}
 func (LogCmd) cmd()            {}
 
 // New returns the blackboard of an entry that knows nothing yet. The jitter,
-// from 0 to 1, differs between entries.
-func New(s loader.Settings, jitter float64) Model {
+// from 0 to 1, differs between entries; self is what its shares are owned by.
+func New(s loader.Settings, jitter float64, self registrar.Owner) Model {
 	return Model{
 		Name:       s.Name,
 		DataCentre: s.DataCentre,
 		Site:       s.Site,
 		Snapshot:   SnapshotDuty{Jitter: jitter},
+		Fleet:      FleetDuty{Self: self, ListKnown: s.VMs != ""},
 	}
 }
 
@@ -163,15 +208,33 @@
 	switch msg := msg.(type) {
 	case PageMsg:
 		return m.readPage(msg.Page, now)
+	case PeerPageMsg:
+		return m.fold(msg.Page, now)
+	case PeerStateMsg:
+		return m.adopt(msg.Reader, now)
+	case PeerSeenMsg:
+		return m.seen(msg, now), nil
+	case VMsMsg:
+		return m.listVMs(msg.Names), nil
+	case FleetDoneMsg:
+		return m.fleetDone(msg.Err, now)
 	case ReadFailedMsg:
 		return m.readFailed(msg.Err, now)
 	case TickMsg:
-		return m.keepSnapshot(now)
+		return m.tick(now)
 	case SnapshotDoneMsg:
 		return m.snapshotDone(msg.Outcome)
 	case StopMsg:
 		m.Phase = Stopping
-		return m, []Cmd{LogCmd{Level: zerolog.InfoLevel, Text: "stopping"}}
+		m, cmds := m.manageShares(now)
+		return m, append(cmds, LogCmd{Level: zerolog.InfoLevel, Text: "stopping"})
 	}
 	return m, nil
 }
+
+// tick does what falls due with time.
+func (m Model) tick(now time.Time) (Model, []Cmd) {
+	m, cmds := m.keepSnapshot(now)
+	m, more := m.manageShares(now)
+	return m, append(cmds, more...)
+}
--- a/emulator/backend.go
+++ b/emulator/backend.go
@@ -19,9 +19,6 @@
 	"savoryroad.dev/forwarder"
 )
 
-// KeyHeader carries the idempotency key of a call that must not run twice.
-const KeyHeader = "Idempotency-Key"
-
 // BodyHashHeader carries the SHA-256 of an answer's body, so that a caller can
 // tell a whole answer from a truncated one.
 const BodyHashHeader = "Body-Sha256"
@@ -124,7 +121,7 @@
 // run reads the call whole, holds the slot for the service time and answers.
 func (b *Backend) run(w http.ResponseWriter, r *http.Request, m BackendMode) {
 	b.calls.Add(1)
-	b.noteRun(r.Header.Get(KeyHeader))
+	b.noteRun(r.Header.Get(forwarder.KeyHeader))
 	sum := sha256.New()
 	n, err := io.Copy(sum, r.Body)
 	if err != nil {
--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -168,7 +168,7 @@
 	id := uuid.NewString()
 	req.Header.Set(forwarder.RequestIDHeader, id)
 	if call.Key != "" {
-		req.Header.Set(KeyHeader, call.Key)
+		req.Header.Set(forwarder.KeyHeader, call.Key)
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
@@ -179,6 +179,10 @@
 	if err != nil {
 		return broken
 	}
+	if resp.Header.Get(forwarder.RepeatHeader) != "" {
+		// The answer belongs to the first send, and has its id.
+		return resp.Header.Get(forwarder.OutcomeHeader)
+	}
 	if !belongs(resp, got, id) {
 		return wrong
 	}
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +19,9 @@
 	"savoryroad.dev/publisher"
 )
 
+// pollInterval is the time between two looks at a condition.
+const pollInterval = 5 * time.Millisecond
+
 // loopback is an address with a free port.
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
@@ -32,6 +37,9 @@
 	// Log is the log service; LogURL is where it is served.
 	Log    *Log
 	LogURL string
+	// VMs is the platform's list of VMs, and VMsURL where it is served.
+	VMs    *VMs
+	VMsURL string
 	// Entries are the running entries.
 	Entries []*FleetEntry
 	// Backends holds the backend servers.
@@ -43,6 +51,11 @@
 
 	opts    FleetOptions
 	servers []*Server
+	// authority signs the entries' keys; dir holds their files.
+	authority *Authority
+	dir       string
+	// started counts the entries ever started.
+	started int
 	// addresses holds where the backend servers listen.
 	addresses map[TargetKey]string
 }
@@ -77,6 +90,7 @@
 func NewFleet(ctx context.Context, o FleetOptions) (*Fleet, error) {
 	f := &Fleet{
 		Log:       NewLog(o.Retention, o.Seed),
+		VMs:       NewVMs(),
 		Backends:  map[TargetKey]*Backend{},
 		addresses: map[TargetKey]string{},
 		opts:      o,
@@ -94,6 +108,16 @@
 		return err
 	}
 	f.LogURL = "http://" + s.Addr.String()
+	if s, err = f.serve(f.VMs); err != nil {
+		return err
+	}
+	f.VMsURL = "http://" + s.Addr.String()
+	if f.dir, err = os.MkdirTemp("", "savoryroad"); err != nil {
+		return errors.Wrap(err, "fleet")
+	}
+	if f.authority, err = NewAuthority(f.dir); err != nil {
+		return err
+	}
 	if err := f.startBackends(); err != nil {
 		return err
 	}
@@ -105,6 +129,32 @@
 			return err
 		}
 	}
+	return f.waitShared(ctx)
+}
+
+// waitShared waits until every share is owned and no entry is without one.
+func (f *Fleet) waitShared(ctx context.Context) error {
+	return poll(ctx, "shares are owned", func() bool {
+		for _, e := range f.Entries {
+			if !e.OwnsShares() || !e.SharesComplete() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// poll waits for a condition, which is looked at every few milliseconds.
+func poll(ctx context.Context, what string, cond func() bool) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !cond() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "waiting until %s", what)
+		}
+	}
 	return nil
 }
 
@@ -188,44 +238,74 @@
 
 // AddEntry starts one more entry and waits until it is ready.
 func (f *Fleet) AddEntry(ctx context.Context) (*FleetEntry, error) {
-	n := len(f.Entries) + 1
-	s := loader.Settings{
-		Name:          loader.EntryName(fmt.Sprintf("entry-%02d", n)),
-		DataCentre:    "Stand-in",
-		Listen:        loopback,
-		Operator:      loopback,
-		Log:           loader.Address(f.LogURL),
-		DrainTimeout:  time.Minute,
-		HeaderTimeout: 10 * time.Second,
-		StallTimeout:  time.Minute,
-		IdleTimeout:   time.Minute,
+	f.started++
+	name := loader.EntryName(fmt.Sprintf("entry-%02d", f.started))
+	s, err := f.settings(name)
+	if err != nil {
+		return nil, err
 	}
 	b, err := balancer.New(s,
 		balancer.WithLogger(f.opts.Logger),
-		balancer.WithSeed(f.opts.Seed+uint64(n)),
+		balancer.WithSeed(f.opts.Seed+uint64(f.started)),
 	)
 	if err != nil {
 		return nil, err
 	}
+	f.VMs.Add(name)
 	runCtx, stop := context.WithCancel(context.Background())
-	e := &FleetEntry{Balancer: b, Name: s.Name, stop: stop, done: make(chan error, 1)}
+	e := &FleetEntry{Balancer: b, Name: name, stop: stop, done: make(chan error, 1)}
 	f.Entries = append(f.Entries, e)
 	go func() { e.done <- b.Run(runCtx) }()
-	return e, e.waitReady(ctx)
+	return e, poll(ctx, string(name)+" is ready", e.Ready)
 }
 
-// waitReady polls, since an entry has no one to tell.
-func (e *FleetEntry) waitReady(ctx context.Context) error {
-	ticker := time.NewTicker(5 * time.Millisecond)
-	defer ticker.Stop()
-	for !e.Ready() {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "%s is not ready", e.Name)
-		}
+// settings are those of an entry with that name.
+func (f *Fleet) settings(name loader.EntryName) (loader.Settings, error) {
+	cert, key, err := f.authority.Sign(string(name), time.Hour)
+	if err != nil {
+		return loader.Settings{}, err
 	}
-	return nil
+	s := loader.Settings{
+		Name:          name,
+		DataCentre:    "Stand-in",
+		Listen:        loopback,
+		Operator:      loopback,
+		Log:           loader.Address(f.LogURL),
+		VMs:           loader.Address(f.VMsURL),
+		DrainTimeout:  time.Minute,
+		HeaderTimeout: 10 * time.Second,
+		StallTimeout:  time.Minute,
+		IdleTimeout:   time.Minute,
+		Peers: loader.Peers{
+			Listen:   loopback,
+			CertFile: cert,
+			KeyFile:  key,
+			CAFile:   f.authority.CAFile(),
+		},
+	}
+	for _, e := range f.Entries {
+		s.Peers.Seeds = append(s.Peers.Seeds, e.PeersAddr())
+	}
+	return s, nil
+}
+
+// StopEntry ends an entry gracefully; its VM vanishes from the list.
+func (f *Fleet) StopEntry(e *FleetEntry) error {
+	err := e.Stop()
+	f.forget(e)
+	return err
+}
+
+// KillEntry ends an entry at once; its VM vanishes from the list.
+func (f *Fleet) KillEntry(e *FleetEntry) {
+	e.Abort()
+	<-e.done
+	f.forget(e)
+}
+
+func (f *Fleet) forget(e *FleetEntry) {
+	f.VMs.Remove(e.Name)
+	f.Entries = slices.DeleteFunc(slices.Clone(f.Entries), func(o *FleetEntry) bool { return o == e })
 }
 
 // Stop ends the entry gracefully and waits for it.
@@ -256,4 +336,7 @@
 	for _, s := range f.servers {
 		s.Close()
 	}
+	if f.dir != "" {
+		_ = os.RemoveAll(f.dir)
+	}
 }
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -99,8 +99,9 @@
 }
 
 // copyBody passes an answer on piece by piece. It flushes every piece of a
-// body whose length was not announced, since such bodies may be streams.
-func copyBody(w http.ResponseWriter, resp *http.Response, stall time.Duration) (int64, error) {
+// body whose length was not announced, since such bodies may be streams. A
+// claim, if there is one, keeps the beginning.
+func copyBody(w http.ResponseWriter, resp *http.Response, stall time.Duration, cl *claim) (int64, error) {
 	buf := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buf)
 	ctrl := http.NewResponseController(w)
@@ -109,6 +110,9 @@
 	for {
 		n, err := resp.Body.Read(buf[:])
 		if n > 0 {
+			if cl != nil {
+				cl.keep(buf[:n])
+			}
 			setWriteDeadline(ctrl, stall)
 			written, werr := w.Write(buf[:n])
 			total += int64(written)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"savoryroad.dev/deduplicator"
 	"savoryroad.dev/loader"
 )
 
@@ -26,10 +27,15 @@
 	// started is when the call arrived.
 	started time.Time
 	timing  timing
+	// claim is the right to dispatch a call that must not run twice; nil for
+	// other calls.
+	claim *claim
 }
 
 // timing says where the time of a call went.
 type timing struct {
+	// claim is the time spent asking the owner of the call's key.
+	claim time.Duration
 	// wait is the time spent waiting for a backend server with room.
 	wait time.Duration
 	// connect is the time spent opening connections.
@@ -40,7 +46,12 @@
 
 // header formats the timing for the Server-Timing header, in milliseconds.
 func (t timing) header() string {
-	b := make([]byte, 0, 64)
+	b := make([]byte, 0, 80)
+	if t.claim > 0 {
+		b = append(b, "claim;dur="...)
+		b = appendMillis(b, t.claim)
+		b = append(b, ", "...)
+	}
 	b = append(b, "wait;dur="...)
 	b = appendMillis(b, t.wait)
 	b = append(b, ", connect;dur="...)
@@ -63,11 +74,20 @@
 			return c.refuse(w, refusal{status: http.StatusBadRequest, outcome: NotRun, title: "the body broke off", detail: err.Error()})
 		}
 	}
+	if c.route.Class == loader.AtMostOnce {
+		return c.runOnce(ctx, w)
+	}
+	return c.dispatch(ctx, w)
+}
+
+// dispatch sends the call until it is answered or may not be sent again.
+func (c *call) dispatch(ctx context.Context, w http.ResponseWriter) Outcome {
 	c.route.service.earnRepeat()
 	var tried []*backend
 	for {
 		b, err := c.wait(ctx, tried)
 		if err != nil {
+			c.settle(deduplicator.Result{NotRun: true})
 			return c.refuse(w, c.waitRefusal(ctx, err))
 		}
 		tried = append(tried, b)
@@ -81,6 +101,7 @@
 			return c.answer(w, b, res)
 		case gotNothing:
 			c.finish(b, res.outcome)
+			c.settle(deduplicator.Result{NotRun: res.outcome == NotRun})
 			return c.refuse(w, c.sendRefusal(ctx, b, res))
 		}
 	}
@@ -161,8 +182,9 @@
 	h.Del(LoadHeader)
 	setWriteDeadline(http.NewResponseController(w), c.forwarder.stall)
 	w.WriteHeader(resp.StatusCode)
-	_, err := copyBody(w, resp, c.forwarder.stall)
+	_, err := copyBody(w, resp, c.forwarder.stall, c.claim)
 	if err == nil {
+		c.settleAnswer(resp, res.outcome)
 		for name, values := range resp.Trailer {
 			h[http.TrailerPrefix+name] = values
 		}
@@ -170,6 +192,7 @@
 		return res.outcome
 	}
 	c.finish(b, OutcomeUnknown)
+	c.settle(deduplicator.Result{})
 	if errors.HasType(err, errCallerGone{}) || c.request.Context().Err() != nil {
 		c.count(Cancelled)
 	} else {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,12 @@
 	services map[loader.ServiceName]*service
 	// draining makes callers' connections end after their current call.
 	draining atomic.Bool
+	// claimer grants calls of AtMostOnce routes; it may be nil.
+	claimer Claimer
+	// name starts the attempts' names, which are unique in the fleet.
+	name string
+	// attempts counts the attempts.
+	attempts atomic.Uint64
 	// inFlight counts the calls now in the entry.
 	inFlight atomic.Int64
 }
@@ -74,6 +81,7 @@
 		rec:      rec,
 		stall:    defaultStall,
 		seed:     rand.Uint64(),
+		name:     uuid.NewString(),
 		services: map[loader.ServiceName]*service{},
 		stats: stats{
 			refused:   rec.Counter("calls_unrouted_total"),
@@ -177,6 +185,11 @@
 	return refusal{}, true
 }
 
+// nextAttempt returns a name that no other call in the fleet has.
+func (f *Forwarder) nextAttempt() string {
+	return f.name + "/" + strconv.FormatUint(f.attempts.Add(1), 36)
+}
+
 // deadline is the route's, or the caller's own if that is shorter.
 func (c *call) deadline() time.Duration {
 	d := c.route.Deadline
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -38,6 +38,11 @@
 	Operator netip.AddrPort `required:"true"`
 	// Log is the URL of the platform's log service.
 	Log Address `required:"true"`
+	// VMs is the URL of the platform's list of VMs; left out, the shares of
+	// an entry that is gone stay unused until it comes back.
+	VMs Address
+	// Peers is the link to the other entries; left out, this entry is alone.
+	Peers Peers
 	// TLS holds the keys towards callers; left out, callers use plain HTTP.
 	TLS TLS
 	// DrainTimeout bounds the wait for calls in flight at shutdown.
@@ -54,6 +59,21 @@
 	IdleTimeout time.Duration `default:"2m" min:"1s" max:"1h"`
 }
 
+// Peers is the link to the other entries.
+type Peers struct {
+	// Listen is the IP address and UDP port for peers.
+	Listen netip.AddrPort
+	// CertFile and KeyFile are the PEM files of this entry's own keys.
+	CertFile, KeyFile string
+	// CAFile is the PEM file of the authorities that peers are trusted by.
+	CAFile string
+	// Seeds are peers to ask while the log can't be read.
+	Seeds []netip.AddrPort
+}
+
+// Enabled tells whether the entry has peers.
+func (p Peers) Enabled() bool { return p.Listen.IsValid() }
+
 // TLS names the key files of an endpoint. Both are set, or neither is.
 type TLS struct {
 	// CertFile is the PEM file with the certificate chain.
@@ -71,6 +91,9 @@
 	if (s.TLS.CertFile == "") != (s.TLS.KeyFile == "") {
 		findings = append(findings, d.found(t.root, "TLS", "one of the two key files is missing", "CertFile and KeyFile, or neither")...)
 	}
+	if s.Peers.Enabled() && (s.Peers.CertFile == "" || s.Peers.KeyFile == "" || s.Peers.CAFile == "") {
+		findings = append(findings, d.found(t.root, "Peers", "a key file is missing", "CertFile, KeyFile and CAFile")...)
+	}
 	if s.Listen == s.Operator && s.Listen.IsValid() && s.Listen.Port() != 0 {
 		findings = append(findings, d.found(t.root, "Operator", "same address as Listen", "an address of its own")...)
 	}
@@ -88,5 +111,8 @@
 	if s.TLS.KeyFile != "" {
 		s.TLS.KeyFile = redacted
 	}
+	if s.Peers.KeyFile != "" {
+		s.Peers.KeyFile = redacted
+	}
 	return s
 }
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -17,6 +17,7 @@
 
 	"savoryroad.dev/appender"
 	"savoryroad.dev/loader"
+	"savoryroad.dev/registrar"
 )
 
 // Stream is the log's stream of configuration changes.
@@ -29,12 +30,11 @@
 	ChangeID string
 )
 
-// Entry is one record of the stream: a Change or a Snapshot.
-//
-// Exactly one of the two fields is set.
+// Entry is one record of the stream. Exactly one of its fields is set.
 type Entry struct {
-	Change   *Change   `json:",omitempty"`
-	Snapshot *Snapshot `json:",omitempty"`
+	Change   *Change           `json:",omitempty"`
+	Snapshot *Snapshot         `json:",omitempty"`
+	Fleet    *registrar.Record `json:",omitempty"`
 }
 
 // Change is an operator's edit of one document.
@@ -74,8 +74,8 @@
 	Note   string
 }
 
-// Verdict is what the fold made of one record: Accept, Reject, Repeat, Keep
-// or Junk.
+// Verdict is what the fold made of one record: Accept, Reject, Repeat, Keep,
+// Move or Junk.
 type Verdict interface{ verdict() }
 
 // Accept says that a change is in force from this record on.
@@ -95,6 +95,9 @@
 // Keep says that the record is a snapshot.
 type Keep struct{ Through appender.Offset }
 
+// Move says how many shares of the fleet changed hands.
+type Move struct{ Shares int }
+
 // Junk says that the record is none of ours; every reader skips it alike.
 type Junk struct{ Reason error }
 
@@ -102,4 +105,5 @@
 func (Reject) verdict() {}
 func (Repeat) verdict() {}
 func (Keep) verdict()   {}
+func (Move) verdict()   {}
 func (Junk) verdict()   {}
--- a/publisher/state.go
+++ b/publisher/state.go
@@ -10,6 +10,7 @@
 
 	"savoryroad.dev/appender"
 	"savoryroad.dev/loader"
+	"savoryroad.dev/registrar"
 )
 
 // keptChanges is how many accepted changes a state remembers, for telling
@@ -22,11 +23,13 @@
 	// Revision counts the accepted changes.
 	Revision Revision
 	// Base is the base document in canonical JSON; empty means none yet.
-	Base json.RawMessage
+	Base json.RawMessage `json:",omitempty"`
 	// Overlays holds the sites' overlays in canonical JSON.
 	Overlays map[loader.SiteName]json.RawMessage
 	// Recent holds the latest accepted changes, oldest first.
 	Recent []Accepted
+	// Fleet says which entry owns which share.
+	Fleet registrar.Table
 }
 
 // Fold returns the state after a record, and what became of the record. It
@@ -43,8 +46,12 @@
 		return s.foldChange(*e.Change, r)
 	case e.Snapshot != nil:
 		return s, Keep{Through: e.Snapshot.Through}
+	case e.Fleet != nil:
+		var n int
+		s.Fleet, n = s.Fleet.Fold(*e.Fleet, r.Time)
+		return s, Move{Shares: n}
 	default:
-		return s, Junk{Reason: errors.New("record is neither change nor snapshot")}
+		return s, Junk{Reason: errors.New("record is of no known kind")}
 	}
 }
 
