Hold the cold limit of a target over all entries, with permits lent to those without a part

Cause: every entry alone sent a cold target up to its own limit. Weighed: a static split of the cold limit (nothing for most entries at a limit of 1 with 18 entries, and no way up); permits with expiry (a paused borrower uses one late); parts of a level that the target's home raises as answers show that it bears more, by the same shares as the keys. The third is built (warmer, pure). So the home lends permits; one counts as used until it is given back, without a clock. Ruled out: counting an unknown target as warm (an entry that starts while a target is cold would break the limit). A target that goes cold without a sign is noticed at its first broken connection or changed start id only. A permit lent to an entry without shares that dies comes back only when the target's home changes.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -115,6 +115,9 @@
 		return nil, err
 	}
 	b.forwarder.SetClaimer(b.peers)
+	b.forwarder.SetWarmthTeller(b.peers.tell)
+	b.forwarder.SetBorrower(b.peers.askLoan)
+	b.peers.limitTraffic()
 	b.loop = controller.NewLoop(controller.New(s, jitter, b.peers.self), b.carryOut)
 	servers, err := b.servers()
 	if err != nil {
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"savoryroad.dev/messenger"
 	"savoryroad.dev/publisher"
 	"savoryroad.dev/registrar"
+	"savoryroad.dev/warmer"
 )
 
 const (
@@ -37,6 +39,13 @@
 	settlePause = 200 * time.Millisecond
 	// ownTimeout bounds the wait for a transfer to be read back.
 	ownTimeout = 3 * time.Second
+	// newsWaiting bounds the news that wait to be told.
+	newsWaiting = 4096
+	// newsTimeout bounds the effort to deliver one piece of news.
+	newsTimeout = 10 * time.Second
+	// loanPause is the wait before a loan that was refused is answered to
+	// those who want it, so that they do not ask at once again.
+	loanPause = 10 * time.Millisecond
 	// forgetInterval is the time between two clean-ups of old keys.
 	forgetInterval = 10 * time.Second
 )
@@ -54,6 +63,15 @@
 	// client and server are nil when the entry has no peers.
 	client *messenger.Client
 	server *messenger.Server
+	// news waits to be told to peers.
+	news chan warmer.News
+	// loans waits to be asked for or given back.
+	loans chan warmer.Loan
+	// leaving guards and holds the shares that are being given away.
+	leaving struct {
+		sync.Mutex
+		shares []registrar.Share
+	}
 	// kicked holds one token when a round of digests is wanted at once.
 	kicked chan struct{}
 }
@@ -63,6 +81,8 @@
 		b:      b,
 		memory: deduplicator.New(),
 		kicked: make(chan struct{}, 1),
+		news:   make(chan warmer.News, newsWaiting),
+		loans:  make(chan warmer.Loan, newsWaiting),
 		self: registrar.Owner{
 			Incarnation: registrar.Incarnation(uuid.NewString()),
 			Entry:       b.settings.Name,
@@ -111,14 +131,40 @@
 			p.gossip(ctx)
 		case <-forget.C:
 			p.memory.Forget(time.Now())
+		case n := <-p.news:
+			p.spread(ctx, n)
+		case l := <-p.loans:
+			go p.settleLoan(ctx, l)
 		}
 	}
 }
 
 // own takes over what a newer table says.
 func (p *peers) own(t registrar.Table) {
+	for _, gone := range p.table.Load().Evicted(t) {
+		p.b.forwarder.Reclaim(gone)
+	}
 	p.memory.Own(t, p.self.Incarnation)
 	p.table.Store(&t)
+	p.limitTraffic()
+}
+
+// limitTraffic gives traffic the shares that this entry owns and keeps.
+func (p *peers) limitTraffic() {
+	if p.client == nil {
+		return
+	}
+	p.leaving.Lock()
+	defer p.leaving.Unlock()
+	p.b.forwarder.SetFleet(*p.table.Load(), p.self.Incarnation, p.leaving.shares)
+}
+
+// setLeaving sets the shares that are being given away.
+func (p *peers) setLeaving(shares []registrar.Share) {
+	p.leaving.Lock()
+	p.leaving.shares = shares
+	p.leaving.Unlock()
+	p.limitTraffic()
 }
 
 // kick asks for a round of digests at once.
@@ -201,6 +247,7 @@
 		return
 	}
 	p.heard(ctx, *a.Digest)
+	p.hearAll(a.Levels)
 	if len(a.Records) > 0 {
 		if page, err := a.Page(); err == nil {
 			p.b.loop.Send(ctx, controller.PeerPageMsg{Page: page})
@@ -227,7 +274,13 @@
 		return messenger.Answer{Claim: messenger.NewClaimAnswer(p.memory.Claim(*r.Claim, time.Now()))}
 	case r.Settle != nil:
 		return messenger.Answer{Done: p.memory.Settle(r.Settle.Key, r.Settle.Attempt, r.Settle.Result)}
+	case len(r.News) > 0:
+		p.hearAll(r.News)
+		return messenger.Answer{Done: true}
+	case r.Loan != nil:
+		return messenger.Answer{Done: p.b.forwarder.Lend(*r.Loan)}
 	case r.Handover != nil:
+		p.hearAll(r.Handover.Levels)
 		p.memory.Receive(r.Handover.Shares, r.Handover.Keys)
 		return messenger.Answer{Done: true}
 	case r.Digest != nil:
@@ -241,7 +294,7 @@
 func (p *peers) answerDigest(ctx context.Context, d messenger.Digest) messenger.Answer {
 	p.heard(ctx, d)
 	own := p.digest()
-	a := messenger.Answer{Digest: own}
+	a := messenger.Answer{Digest: own, Levels: p.b.forwarder.HomeLevels()}
 	switch {
 	case own.Synced && d.Next < own.Next, own.Synced && !d.Synced && d.Next == own.Next:
 		p.fill(&a, d)
@@ -375,19 +428,37 @@
 	if _, err := p.b.log.Read(ctx, publisher.Stream, p.b.loop.Model().Reader.Next, 0); err != nil {
 		return err
 	}
-	keys := p.memory.Freeze(t.Shares)
-	a, err := p.client.Ask(ctx, t.To.Peer, messenger.Request{Handover: &messenger.Handover{Shares: t.Shares, Keys: keys}})
-	if err == nil && !a.Done {
-		err = errors.New("peer did not take the memory")
-	}
-	if err == nil {
-		err = p.append(ctx, registrar.Record{Transfer: &t})
-	}
+	levels := p.b.forwarder.HomeLevels()
+	p.setLeaving(t.Shares)
+	err := p.giveAway(ctx, t, levels)
 	if err != nil && !errors.Is(err, errUncertain) {
 		p.memory.Thaw(t.Shares)
+		p.setLeaving(nil)
 		return err
 	}
-	return p.settleTransfer(t)
+	err = p.settleTransfer(t)
+	p.setLeaving(nil)
+	return err
+}
+
+// giveAway waits until this entry's calls fit in what it keeps, sends the
+// memory of the shares, and appends the record.
+func (p *peers) giveAway(ctx context.Context, t registrar.Transfer, levels []warmer.News) error {
+	for end := time.Now().Add(ownTimeout); !p.b.forwarder.Settled(); time.Sleep(releasePoll) {
+		if time.Now().After(end) {
+			return errors.New("calls at a cold target take too long")
+		}
+	}
+	keys := p.memory.Freeze(t.Shares)
+	h := &messenger.Handover{Shares: t.Shares, Keys: keys, Levels: levels}
+	a, err := p.client.Ask(ctx, t.To.Peer, messenger.Request{Handover: h})
+	if err != nil {
+		return err
+	}
+	if !a.Done {
+		return errors.New("peer did not take the memory")
+	}
+	return p.append(ctx, registrar.Record{Transfer: &t})
 }
 
 // settleTransfer waits until the log says who owns the shares, and appends the
--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -80,7 +80,7 @@
 func (f *fleet) catchUp(m *member, n int) {
 	for ; n > 0 && m.read < len(f.log); n-- {
 		l := f.log[m.read]
-		m.table, _ = m.table.Fold(l.record, l.at)
+		m.table, _ = m.table.Fold(l.record, registrar.Term(m.read), l.at)
 		m.read++
 		m.memory.Own(m.table, m.id)
 		if m.moving != nil && l.record.Transfer == m.moving {
@@ -251,9 +251,9 @@
 // the predecessor may have granted, ahead of its time by the skew included.
 func TestTakeoverRefusesWhatTheLostMemoryMayHold(t *testing.T) {
 	lost := time.UnixMilli(1_700_000_000_000)
-	table, _ := registrar.Table{}.Fold(registrar.Record{Claim: &registrar.Claim{Owner: registrar.Owner{Incarnation: "old"}, Shares: registrar.Table{}.Vacant()}}, lost)
-	table, _ = table.Fold(registrar.Record{Eviction: &registrar.Eviction{Gone: "old"}}, lost)
-	table, _ = table.Fold(registrar.Record{Claim: &registrar.Claim{Owner: registrar.Owner{Incarnation: "new"}, Shares: table.Vacant()}}, lost)
+	table, _ := registrar.Table{}.Fold(registrar.Record{Claim: &registrar.Claim{Owner: registrar.Owner{Incarnation: "old"}, Shares: registrar.Table{}.Vacant()}}, 0, lost)
+	table, _ = table.Fold(registrar.Record{Eviction: &registrar.Eviction{Gone: "old"}}, 1, lost)
+	table, _ = table.Fold(registrar.Record{Claim: &registrar.Claim{Owner: registrar.Owner{Incarnation: "new"}, Shares: table.Vacant()}}, 0, lost)
 	tests := []struct {
 		age  time.Duration
 		want Verdict
--- a/emulator/backend.go
+++ b/emulator/backend.go
@@ -52,6 +52,13 @@
 	// calls counts the calls that began to run.
 	calls atomic.Int64
 
+	// cold is the present cold start; nil once the server is warm.
+	cold atomic.Pointer[coldStart]
+	// starts counts the starts; it names the run.
+	starts atomic.Int64
+	// overCold counts the calls that came above the cold limit, ever.
+	overCold atomic.Int64
+
 	mu sync.Mutex
 	// runs counts the runs of each key.
 	runs map[string]int
@@ -69,6 +76,30 @@
 	return b
 }
 
+// coldStart is one cold start of a server.
+type coldStart struct {
+	limit int64
+	// left counts the answers until the server is warm.
+	left atomic.Int64
+	// inFlight counts the calls since the start.
+	inFlight atomic.Int64
+}
+
+// Restart makes the server start anew, cold: it bears that many calls at once
+// until it has answered so many. Calls in flight break off.
+func (b *Backend) Restart(limit, answers int) {
+	c := &coldStart{limit: int64(limit)}
+	c.left.Store(int64(answers))
+	b.cold.Store(c)
+	b.starts.Add(1)
+}
+
+// Cold tells whether the server is in cold start.
+func (b *Backend) Cold() bool { return b.cold.Load() != nil }
+
+// OverCold returns the number of calls that came above the cold limit.
+func (b *Backend) OverCold() int64 { return b.overCold.Load() }
+
 // SetMode changes the behaviour from now on.
 func (b *Backend) SetMode(m BackendMode) { b.mode.Store(&m) }
 
@@ -91,6 +122,19 @@
 	defer b.inFlight.Add(-1)
 	b.raisePeak(load)
 	w.Header().Set(forwarder.LoadHeader, strconv.FormatInt(load, 10))
+	start := b.starts.Load()
+	w.Header().Set(forwarder.StartHeader, strconv.FormatInt(start, 10))
+	if c := b.cold.Load(); c != nil {
+		if c.inFlight.Add(1) > c.limit {
+			b.overCold.Add(1)
+		}
+		defer b.leaveCold(c)
+	}
+	defer func() {
+		if b.starts.Load() != start {
+			panic(http.ErrAbortHandler)
+		}
+	}()
 	m := *b.mode.Load()
 	switch {
 	case m.Shed:
@@ -109,6 +153,14 @@
 	b.run(w, r, m)
 }
 
+// leaveCold counts an answer of a cold start; the last one makes it warm.
+func (b *Backend) leaveCold(c *coldStart) {
+	c.inFlight.Add(-1)
+	if c.left.Add(-1) == 0 {
+		b.cold.CompareAndSwap(c, nil)
+	}
+}
+
 func (b *Backend) raisePeak(load int64) {
 	for {
 		peak := b.peak.Load()
--- /dev/null
+++ b/emulator/cold_test.go
@@ -0,0 +1,60 @@
+package emulator_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"savoryroad.dev/emulator"
+	"savoryroad.dev/loader"
+)
+
+const coldBase = `
+DataCentres:
+  Hobart: {}
+Services:
+  Balances:
+    Routes:
+      Read: {PathPrefix: /balances, Class: Lookup, MaxWait: 5s}
+    Defaults: {Slots: 4, ColdLimit: 1, ColdAnswers: 20}
+    Targets:
+      b1: {Address: "127.0.0.1:1", DataCentre: Hobart}
+      b2: {Address: "127.0.0.1:2", DataCentre: Hobart}
+      b3: {Address: "127.0.0.1:3", DataCentre: Hobart}
+`
+
+// While every backend server is in cold start and bears one call at a time,
+// five entries under load never send one of them two, and all become warm.
+func TestColdLimitHoldsOverAllEntries(t *testing.T) {
+	f, err := emulator.NewFleet(t.Context(), emulator.FleetOptions{
+		Base:        loader.MustParse("base.yaml", coldBase),
+		Entries:     5,
+		Mode:        emulator.BackendMode{Service: 2 * time.Millisecond},
+		ColdAnswers: 20,
+		Retention:   time.Hour,
+		Seed:        1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	callers := emulator.NewCallers(f.Addresses(), 16)
+	defer callers.Close()
+	var wg sync.WaitGroup
+	for range 16 {
+		wg.Go(func() {
+			for range 60 {
+				callers.Do(t.Context(), emulator.Call{Method: "GET", Path: "/balances/1"})
+			}
+		})
+	}
+	wg.Wait()
+	for key, b := range f.Backends {
+		if b.OverCold() > 0 || b.Cold() {
+			t.Errorf("%s: %d calls above the cold limit, still cold: %v", key.Target, b.OverCold(), b.Cold())
+		}
+	}
+	if tally := callers.Tally(); tally.Whole != tally.Sent {
+		t.Errorf("tally: sent %d, whole %d, %v", tally.Sent, tally.Whole, tally.Classed)
+	}
+}
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -77,6 +77,9 @@
 	Entries int
 	// Mode is how the backend servers behave at first.
 	Mode BackendMode
+	// ColdAnswers is the number of answers in which a backend server is cold
+	// at first; 0 means that it is warm from the start.
+	ColdAnswers int
 	// Retention is how long the log keeps a record.
 	Retention time.Duration
 	// Seed draws everything random.
@@ -178,6 +181,9 @@
 		targets := map[loader.TargetName]any{}
 		for targetName, t := range service.Targets {
 			b := NewBackend(t.Slots, f.opts.Mode, f.opts.Seed+uint64(len(f.Backends)))
+			if f.opts.ColdAnswers > 0 {
+				b.Restart(t.ColdLimit, f.opts.ColdAnswers)
+			}
 			s, err := f.serve(b)
 			if err != nil {
 				return err
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -11,6 +11,8 @@
 	"savoryroad.dev/loader"
 	"savoryroad.dev/picker"
 	"savoryroad.dev/recorder"
+	"savoryroad.dev/registrar"
+	"savoryroad.dev/warmer"
 )
 
 const (
@@ -32,6 +34,20 @@
 	// index is the place in the service's pool, or -1 once the configuration
 	// dropped the target; the service's lock guards it.
 	index picker.Index
+	// base bounds this entry's calls at a warm target; 0 means no new work.
+	// The service's lock guards it.
+	base int
+	// ramp is the target's warmth; the service's lock guards it.
+	ramp warmer.Ramp
+	// lent holds the permits of the target's home that other entries use; each
+	// counts as outstanding here. The service's lock guards it.
+	lent map[warmer.PermitID]registrar.Incarnation
+	// borrowed holds the permits of the home that this entry uses, and uses
+	// counts the calls since the latest came. The service's lock guards both.
+	borrowed []warmer.PermitID
+	uses     int
+	// start is the target's latest start id; the service's lock guards it.
+	start string
 	// pooled keeps connections between calls.
 	pooled *http.Transport
 	// fresh opens a connection for every call, so that a call is never sent
@@ -50,7 +66,7 @@
 // newBackend returns a backend whose connections, used and idle, stay below
 // its share of the target's limit.
 func newBackend(service loader.ServiceName, name loader.TargetName, t loader.Target, d loader.TargetDefaults, share int, rec *recorder.Recorder) *backend {
-	b := &backend{name: name, target: t, index: -1}
+	b := &backend{name: name, target: t, index: -1, lent: map[warmer.PermitID]registrar.Incarnation{}}
 	b.stats = newBackendStats(service, name, t, rec)
 	idle := share - callLimit(t, share)
 	b.pooled = newTransport(b, d, share)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -180,6 +180,8 @@
 	h[RequestIDHeader] = []string{c.requestID}
 	h.Add(TimingHeader, c.timing.header())
 	h.Del(LoadHeader)
+	h.Del(StartHeader)
+	h.Del(ColdHeader)
 	setWriteDeadline(http.NewResponseController(w), c.forwarder.stall)
 	w.WriteHeader(resp.StatusCode)
 	_, err := copyBody(w, resp, c.forwarder.stall, c.claim)
--- a/forwarder/dump.go
+++ b/forwarder/dump.go
@@ -32,6 +32,10 @@
 	Limit int
 	// Outstanding counts this entry's calls.
 	Outstanding int
+	// Warmth is what the fleet may have outstanding; 0 when it is warm.
+	Warmth int
+	// Home is set when this entry decides on the target's warmth.
+	Home bool
 	// Reported is the load on the target's latest answer.
 	Reported int
 }
@@ -65,6 +69,8 @@
 			Name:        b.name,
 			Limit:       m.Limit,
 			Outstanding: m.Outstanding,
+			Warmth:      b.ramp.Allowed(),
+			Home:        b.ramp.Home,
 			Reported:    m.Reported,
 		})
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,7 @@
 	"savoryroad.dev/loader"
 	"savoryroad.dev/publisher"
 	"savoryroad.dev/recorder"
+	"savoryroad.dev/warmer"
 )
 
 // defaultStall is how long a transfer may stand still.
@@ -37,7 +39,7 @@
 const maxRequestIDBytes = 128
 
 // Forwarder is the traffic path of one entry. It is safe for use by several
-// goroutines, but for Install, which one goroutine at a time may call.
+// goroutines.
 type Forwarder struct {
 	rec   *recorder.Recorder
 	stall time.Duration
@@ -45,7 +47,15 @@
 	stats stats
 	// table is the configuration in force; nil before the first.
 	table atomic.Pointer[table]
-	// services holds what outlives configurations; only Install uses it.
+	// tell passes news of warmth on; nil means to nobody.
+	tell func(warmer.News)
+	// borrow asks other entries for permits; nil means nobody.
+	borrow func(warmer.Loan)
+	// installing guards the two below. Traffic does not take it.
+	installing sync.Mutex
+	// fleet is the entry's part in the fleet; nil until SetFleet.
+	fleet *fleetView
+	// services holds what outlives configurations.
 	services map[loader.ServiceName]*service
 	// draining makes callers' connections end after their current call.
 	draining atomic.Bool
@@ -97,13 +107,15 @@
 // Install puts a configuration in force for every call that begins from now
 // on. It reports false, and changes nothing, when a newer one is in force.
 func (f *Forwarder) Install(rev publisher.Revision, cfg loader.Config) bool {
+	f.installing.Lock()
+	defer f.installing.Unlock()
 	if rev < f.Revision() {
 		return false
 	}
 	for name, settings := range cfg.Services {
 		s, ok := f.services[name]
 		if !ok {
-			s = newService(name, f.rec, f.seed)
+			s = newService(name, f)
 			f.services[name] = s
 		}
 		s.configure(cfg, settings)
--- /dev/null
+++ b/forwarder/loan_test.go
@@ -0,0 +1,61 @@
+package forwarder
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"savoryroad.dev/loader"
+	"savoryroad.dev/recorder"
+	"savoryroad.dev/registrar"
+	"savoryroad.dev/warmer"
+)
+
+// homeOfOne returns a forwarder that is the home of one cold target.
+func homeOfOne(t *testing.T) *Forwarder {
+	t.Helper()
+	f := New(recorder.New(), WithSeed(1))
+	table, _ := registrar.Table{}.Fold(registrar.Record{Claim: &registrar.Claim{
+		Owner: registrar.Owner{Incarnation: "home"}, Shares: registrar.Table{}.Vacant(),
+	}}, 1, time.Time{})
+	f.SetFleet(table, "home", nil)
+	d := loader.TargetDefaults{ColdAnswers: 20, ConnectTimeout: time.Second, IdleTimeout: time.Second}
+	target := loader.Target{Address: netip.MustParseAddrPort("127.0.0.1:9"), DataCentre: "D", Slots: 4, Connections: 100, ColdLimit: 1}
+	f.Install(1, loader.Config{Entries: 2, Services: map[loader.ServiceName]loader.Service{
+		"S": {Defaults: d, Targets: map[loader.TargetName]loader.Target{"t": target}},
+	}})
+	return f
+}
+
+// A permit is lent once for each name, counts as used until it comes back, and
+// is not lent under a name that came back before.
+func TestPermitsAreLentOnce(t *testing.T) {
+	f := homeOfOne(t)
+	loan := func(id string, back bool) bool {
+		return f.Lend(warmer.Loan{Service: "S", Target: "t", ID: warmer.PermitID(id), Borrower: "other", Return: back})
+	}
+	steps := []struct {
+		id         string
+		back, want bool
+	}{
+		{"a", false, true},
+		{"a", false, true}, // The answer was lost, and the request came again.
+		{"b", false, false},
+		{"a", true, true},
+		{"a", true, true},
+		{"a", false, false}, // A late copy of the first request.
+		{"b", false, true},
+	}
+	for n, s := range steps {
+		if got := loan(s.id, s.back); got != s.want {
+			t.Errorf("step %d: loan %s, return %v: %v, want %v", n, s.id, s.back, got, s.want)
+		}
+	}
+	if got := f.Dump().Services[0].Targets[0].Outstanding; got != 1 {
+		t.Errorf("%d outstanding, want the lent permit", got)
+	}
+	f.Reclaim("other")
+	if got := f.Dump().Services[0].Targets[0].Outstanding; got != 0 {
+		t.Errorf("%d outstanding after the borrower was evicted", got)
+	}
+}
--- a/forwarder/once_test.go
+++ b/forwarder/once_test.go
@@ -25,7 +25,7 @@
 		shares = append(shares, s)
 	}
 	o := registrar.Owner{Incarnation: "only"}
-	table, _ := registrar.Table{}.Fold(registrar.Record{Claim: &registrar.Claim{Owner: o, Shares: shares}}, time.Time{})
+	table, _ := registrar.Table{}.Fold(registrar.Record{Claim: &registrar.Claim{Owner: o, Shares: shares}}, 0, time.Time{})
 	m := deduplicator.New()
 	m.Own(table, "only")
 	return owner{m}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -18,6 +18,32 @@
 // answer, how many calls it has in flight.
 const LoadHeader = "Savoryroad-Load"
 
+// StartHeader is the header by which a backend server may name its run. A new
+// name means that it started anew, and is cold.
+const StartHeader = "Savoryroad-Start"
+
+// ColdHeader is the header by which a backend server may say, with "true",
+// that it is in cold start.
+const ColdHeader = "Savoryroad-Cold"
+
+// report is what a backend server says of itself on an answer.
+type report struct {
+	// load is the number of calls in flight, or -1 when it does not say.
+	load int
+	// start names its run; empty when it does not say.
+	start string
+	// cold is set when it says that it is in cold start.
+	cold bool
+}
+
+func parseReport(h http.Header) report {
+	r := report{load: -1, start: h.Get(StartHeader), cold: h.Get(ColdHeader) == "true"}
+	if load, err := strconv.Atoi(h.Get(LoadHeader)); err == nil && load >= 0 {
+		r.load = load
+	}
+	return r
+}
+
 // sent is what became of one send: gotAnswer or gotNothing.
 type sent interface{ sent() }
 
@@ -68,12 +94,14 @@
 		if connected {
 			outcome = OutcomeUnknown
 		}
+		if ctx.Err() == nil {
+			c.route.service.failed(b)
+		}
 		return gotNothing{outcome: outcome, cause: err}
 	}
-	if load, err := strconv.Atoi(resp.Header.Get(LoadHeader)); err == nil && load >= 0 {
-		c.route.service.report(b, load)
-	}
-	return gotAnswer{resp: resp, outcome: c.judge(resp.StatusCode)}
+	outcome := c.judge(resp.StatusCode)
+	c.route.service.answered(b, parseReport(resp.Header), outcome == Answered)
+	return gotAnswer{resp: resp, outcome: outcome}
 }
 
 // judge tells what a status says of the handler's run.
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -14,6 +14,7 @@
 	"savoryroad.dev/loader"
 	"savoryroad.dev/picker"
 	"savoryroad.dev/recorder"
+	"savoryroad.dev/warmer"
 )
 
 // maxRepeatTokens bounds how many repeats a quiet service can save up.
@@ -41,6 +42,16 @@
 	// waiters are the calls that wait for room, the oldest first. None waits
 	// while a member has room.
 	waiters []*waiter
+	// fleet is the entry's part in the fleet; nil means that it is alone.
+	fleet *fleetView
+	// tell passes news of warmth on; it must not block.
+	tell func(warmer.News)
+	// askLoan borrows permits and gives them back; it must not block.
+	askLoan func(warmer.Loan)
+	// asking counts the loans asked for and not yet answered.
+	asking int
+	// returned holds the latest permits that came back.
+	returned []warmer.PermitID
 	// repeatTokens is the number of repeats that the budget still allows.
 	repeatTokens float64
 }
@@ -60,13 +71,17 @@
 	granted chan *backend
 }
 
-func newService(name loader.ServiceName, rec *recorder.Recorder, seed uint64) *service {
+func newService(name loader.ServiceName, f *Forwarder) *service {
 	s := &service{
+		fleet:        f.fleet,
+		tell:         f.tellWarmth,
+		askLoan:      f.askLoan,
 		name:         name,
-		rec:          rec,
-		rng:          rand.New(rand.NewPCG(seed, uint64(len(name)))),
+		rec:          f.rec,
+		rng:          rand.New(rand.NewPCG(f.seed, uint64(len(name)))),
 		repeatTokens: maxRepeatTokens,
 	}
+	rec := f.rec
 	label := recorder.Label{Name: "service", Value: string(name)}
 	for o := range s.stats.outcomes {
 		s.stats.outcomes[o] = rec.Counter("calls_total", label, recorder.Label{Name: "outcome", Value: Outcome(o).String()})
@@ -100,11 +115,15 @@
 			b.target = t
 		} else {
 			b = newBackend(s.name, name, t, settings.Defaults, share, s.rec)
+			b.ramp = warmer.New(warmLimits(t, settings.Defaults))
 		}
 		b.index = picker.Index(len(members))
+		b.base = memberLimit(cfg, t, share)
+		b.ramp.Configure(warmLimits(t, settings.Defaults))
+		s.settleRamp(b)
 		s.backends = append(s.backends, b)
 		members = append(members, picker.Member{
-			Limit:       memberLimit(cfg, t, share),
+			Limit:       s.limit(b),
 			Outstanding: b.outstanding,
 		})
 	}
@@ -144,7 +163,7 @@
 		s.mu.Unlock()
 		return b, nil
 	}
-	if !s.anyLimit() {
+	if !s.inService() {
 		s.mu.Unlock()
 		return nil, errNoTarget
 	}
@@ -155,6 +174,7 @@
 	w := &waiter{granted: make(chan *backend, 1)}
 	s.waiters = append(s.waiters, w)
 	s.stats.waiting.Update(int64(len(s.waiters)))
+	s.wantLoan()
 	s.mu.Unlock()
 
 	timer := time.NewTimer(maxWait)
@@ -187,6 +207,13 @@
 func (s *service) release(b *backend) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.free(b)
+	s.giveBack(b)
+}
+
+// free gives room back, and lets the oldest waiter have it; the caller holds
+// the lock.
+func (s *service) free(b *backend) {
 	b.outstanding--
 	if b.index >= 0 {
 		s.pool.Release(b.index)
@@ -194,15 +221,6 @@
 	s.grantWaiters()
 }
 
-// report notes the load that a backend server carried on an answer.
-func (s *service) report(b *backend, load int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if b.index >= 0 {
-		s.pool.Report(b.index, load)
-	}
-}
-
 // earnRepeat adds the share of a repeat that each first send earns.
 func (s *service) earnRepeat() {
 	s.mu.Lock()
@@ -243,15 +261,10 @@
 	return b, true
 }
 
-// anyLimit tells whether any target takes new work at all; the caller holds
-// the lock.
-func (s *service) anyLimit() bool {
-	for i := range s.backends {
-		if s.pool.Member(picker.Index(i)).Limit > 0 {
-			return true
-		}
-	}
-	return false
+// inService tells whether operators want new work at any target; the caller
+// holds the lock.
+func (s *service) inService() bool {
+	return slices.ContainsFunc(s.backends, func(b *backend) bool { return b.base > 0 })
 }
 
 // grantWaiters hands room to the oldest waiters; the caller holds the lock.
--- a/loader/config.go
+++ b/loader/config.go
@@ -74,6 +74,9 @@
 	// ColdLimit is the number of outstanding calls a target bears in cold
 	// start, from all entries together. It is at most Slots.
 	ColdLimit int `default:"1" min:"1" max:"100000"`
+	// ColdAnswers is the number of good answers in a row that end a cold
+	// start. Answers on which the target says that it is cold don't count.
+	ColdAnswers int `default:"20" min:"1" max:"1000000"`
 	// ConnectTimeout bounds the opening of a connection.
 	ConnectTimeout time.Duration `default:"500ms" min:"1ms" max:"30s"`
 	// IdleTimeout closes a connection that carried nothing for so long. It
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -27,6 +27,7 @@
 	"savoryroad.dev/deduplicator"
 	"savoryroad.dev/publisher"
 	"savoryroad.dev/registrar"
+	"savoryroad.dev/warmer"
 )
 
 const (
@@ -46,7 +47,8 @@
 	handleTimeout = 10 * time.Second
 )
 
-// Request is a question to a peer. Exactly one of the pointers is set.
+// Request is a question to a peer. Exactly one of the fields
+// after Version is set.
 type Request struct {
 	// Version is that of the sender.
 	Version int
@@ -58,6 +60,10 @@
 	Digest *Digest
 	// Handover brings the memory of shares that will be transferred.
 	Handover *Handover
+	// News brings news of targets' warmth.
+	News []warmer.News
+	// Loan asks for a permit, or gives one back.
+	Loan *warmer.Loan
 }
 
 // Settle tells how a dispatch ended.
@@ -85,6 +91,7 @@
 type Handover struct {
 	Shares []registrar.Share
 	Keys   []deduplicator.Known
+	Levels []warmer.News
 }
 
 // Answer is the answer to a Request; the field that belongs to the question
@@ -94,10 +101,12 @@
 	Version int
 	// Claim is the verdict on a claim.
 	Claim *ClaimAnswer
-	// Done tells whether a Settle or a Handover was taken.
+	// Done tells whether a Settle, a Handover, News or a Loan was taken.
 	Done bool
 	// Digest is the answerer's own.
 	Digest *Digest
+	// Levels are those of the targets that the answerer is the home of.
+	Levels []warmer.News
 	// Records are those that the asker lacks, as a JSON page, or empty.
 	Records []byte
 	// Reader is the whole state in JSON, where records would not do.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -82,6 +82,16 @@
 	return i, true
 }
 
+// Take counts a call as outstanding at that member, if it has room.
+func (p *Pool) Take(i Index) bool {
+	if !p.members[i].room() {
+		return false
+	}
+	p.members[i].Outstanding++
+	p.place(i)
+	return true
+}
+
 // Release counts a call as no longer outstanding.
 func (p *Pool) Release(i Index) {
 	p.members[i].Outstanding--
--- a/publisher/state.go
+++ b/publisher/state.go
@@ -48,7 +48,7 @@
 		return s, Keep{Through: e.Snapshot.Through}
 	case e.Fleet != nil:
 		var n int
-		s.Fleet, n = s.Fleet.Fold(*e.Fleet, r.Time)
+		s.Fleet, n = s.Fleet.Fold(*e.Fleet, registrar.Term(r.Offset), r.Time)
 		return s, Move{Shares: n}
 	default:
 		return s, Junk{Reason: errors.New("record is of no known kind")}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -6,7 +6,7 @@
 // owner whose VM is gone. Since all entries read the same order of records, a
 // share has one owner, and no clock is needed to say who:
 //
-//	table, verdict := table.Fold(record, offset, time)
+//	table, moved := table.Fold(record, offset, time)
 //	owner, ok := table.Owner(share)
 //
 // An owner that is slow to learn that it lost a share can't harm: it is the
@@ -31,6 +31,10 @@
 // Share numbers a share, from 0 to Shares-1.
 type Share int
 
+// Term orders the owners of a share: it is the offset of the record by which
+// an owner got it.
+type Term int64
+
 // Incarnation names one run of an entry's process.
 type Incarnation string
 
@@ -48,6 +52,10 @@
 type Held struct {
 	// Owner is zero while nobody owns the share.
 	Owner Owner
+	// Term is that of the owner.
+	Term Term
+	// Handed is set when the owner before gave the share away himself.
+	Handed bool
 	// ForgottenAt is when an owner last took its memory of the share's keys
 	// with it, by the log's clock; zero if none ever did.
 	ForgottenAt time.Time
@@ -84,38 +92,38 @@
 // Eviction takes every share from an incarnation that is gone for good.
 type Eviction struct{ Gone Incarnation }
 
-// Fold returns the table after a record that the log took at that time, and
-// how many shares changed hands.
-func (t Table) Fold(r Record, at time.Time) (Table, int) {
+// Fold returns the table after a record that the log took at that offset and
+// time, and how many shares changed hands.
+func (t Table) Fold(r Record, term Term, at time.Time) (Table, int) {
 	next := Table{Held: make([]Held, Shares)}
 	copy(next.Held, t.Held)
 	switch {
 	case r.Claim != nil:
-		return next, next.claim(*r.Claim)
+		return next, next.claim(*r.Claim, term)
 	case r.Transfer != nil:
-		return next, next.transfer(*r.Transfer)
+		return next, next.transfer(*r.Transfer, term)
 	case r.Eviction != nil:
 		return next, next.evict(*r.Eviction, at)
 	}
 	return next, 0
 }
 
-func (t Table) claim(c Claim) int {
+func (t Table) claim(c Claim, term Term) int {
 	n := 0
 	for _, s := range c.Shares {
 		if s.valid() && t.Held[s].Owner.Incarnation == "" {
-			t.Held[s].Owner = c.Owner
+			t.Held[s].Owner, t.Held[s].Term, t.Held[s].Handed = c.Owner, term, false
 			n++
 		}
 	}
 	return n
 }
 
-func (t Table) transfer(tr Transfer) int {
+func (t Table) transfer(tr Transfer, term Term) int {
 	n := 0
 	for _, s := range tr.Shares {
 		if s.valid() && tr.From != "" && t.Held[s].Owner.Incarnation == tr.From {
-			t.Held[s].Owner = tr.To
+			t.Held[s].Owner, t.Held[s].Term, t.Held[s].Handed = tr.To, term, true
 			n++
 		}
 	}
@@ -155,6 +163,19 @@
 	return all
 }
 
+// Evicted lists the owners that lost a share by eviction between this table
+// and a later one.
+func (t Table) Evicted(later Table) []Incarnation {
+	var all []Incarnation
+	for s, h := range t.Held {
+		lost := later.Held[s].ForgottenAt.After(h.ForgottenAt)
+		if lost && h.Owner.Incarnation != "" && !slices.Contains(all, h.Owner.Incarnation) {
+			all = append(all, h.Owner.Incarnation)
+		}
+	}
+	return all
+}
+
 // Vacant lists the shares that nobody owns, in order.
 func (t Table) Vacant() []Share {
 	var all []Share
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -32,7 +32,7 @@
 		for n := range rapid.IntRange(1, 60).Draw(t, "records") {
 			r := drawRecord(t)
 			at := time.Unix(int64(n+1), 0)
-			next, _ := table.Fold(r, at)
+			next, _ := table.Fold(r, Term(n), at)
 			for s := range Share(Shares) {
 				was, had := table.Owner(s)
 				is, has := next.Owner(s)
