Share the slots of targets among entries by permits; spare targets that fail fast

Cause: at 18 entries each sees an eighteenth of the answers, so reports of load are about 250 ms old while a call takes 20 ms; two choices by such reports do little better than random. Change: policy Permits (default): the cold limit's mechanism stays in force at the target's slots. A target that fails three times in a row gets its room back later and later. A lookup that failed may be sent again, within the budget. Conclusion: kept as the default; the baselines stay selectable.

--- a/balancer/loan.go
+++ b/balancer/loan.go
@@ -62,6 +62,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	a, err := p.client.Ask(ctx, owner.Peer, messenger.Request{Loan: &l})
+	a, err := p.ask(ctx, owner.Peer, messenger.Request{Loan: &l})
 	return err == nil && a.Done, err == nil
 }
--- a/balancer/news.go
+++ b/balancer/news.go
@@ -58,7 +58,7 @@
 		}
 		if ok {
 			ask, done := context.WithTimeout(ctx, askTimeout)
-			a, err := p.client.Ask(ask, peer, messenger.Request{News: []warmer.News{n}})
+			a, err := p.ask(ask, peer, messenger.Request{News: []warmer.News{n}})
 			done()
 			if err == nil && a.Done {
 				return
--- a/balancer/operator.go
+++ b/balancer/operator.go
@@ -35,6 +35,15 @@
 	Settings loader.Settings
 	Control  controller.Model
 	Traffic  forwarder.Dump
+	Peers    PeersDump
+}
+
+// PeersDump is the state of the link to the other entries.
+type PeersDump struct {
+	// Keys is the number of idempotency keys remembered.
+	Keys int
+	// Requests counts the requests sent to peers.
+	Requests int64
 }
 
 // operatorServer returns the server for operators and the platform's balancer.
@@ -86,6 +95,7 @@
 		Settings: b.settings.Redacted(),
 		Control:  b.loop.Model(),
 		Traffic:  b.forwarder.Dump(),
+		Peers:    PeersDump{Keys: b.peers.memory.Len(), Requests: b.peers.asked.Count()},
 	}
 }
 
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 
 	"savoryroad.dev/appender"
 	"savoryroad.dev/controller"
@@ -45,7 +46,7 @@
 	newsTimeout = 10 * time.Second
 	// loanPause is the wait before a loan that was refused is answered to
 	// those who want it, so that they do not ask at once again.
-	loanPause = 10 * time.Millisecond
+	loanPause = 2 * time.Millisecond
 	// forgetInterval is the time between two clean-ups of old keys.
 	forgetInterval = 10 * time.Second
 )
@@ -72,6 +73,8 @@
 		sync.Mutex
 		shares []registrar.Share
 	}
+	// asked counts the messages sent to peers.
+	asked metrics.Counter
 	// kicked holds one token when a round of digests is wanted at once.
 	kicked chan struct{}
 }
@@ -81,6 +84,7 @@
 		b:      b,
 		memory: deduplicator.New(),
 		kicked: make(chan struct{}, 1),
+		asked:  b.rec.Counter("peer_requests_total"),
 		news:   make(chan warmer.News, newsWaiting),
 		loans:  make(chan warmer.Loan, newsWaiting),
 		self: registrar.Owner{
@@ -192,6 +196,12 @@
 
 func (p *peers) hasLivePeer() bool { return len(p.b.loop.Model().Fleet.Peers) > 0 }
 
+// ask sends a request to a peer and waits for the answer.
+func (p *peers) ask(ctx context.Context, peer netip.AddrPort, r messenger.Request) (messenger.Answer, error) {
+	p.asked.Inc(1)
+	return p.client.Ask(ctx, peer, r)
+}
+
 // digest says how far this entry has read the log.
 func (p *peers) digest() *messenger.Digest {
 	m := p.b.loop.Model()
@@ -242,7 +252,7 @@
 func (p *peers) exchange(ctx context.Context, peer netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	a, err := p.client.Ask(ctx, peer, messenger.Request{Digest: p.digest()})
+	a, err := p.ask(ctx, peer, messenger.Request{Digest: p.digest()})
 	if err != nil || a.Digest == nil {
 		return
 	}
@@ -348,7 +358,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	a, err := p.client.Ask(ctx, owner.Peer, messenger.Request{Claim: &c})
+	a, err := p.ask(ctx, owner.Peer, messenger.Request{Claim: &c})
 	if err != nil {
 		return deduplicator.Refused{Reason: deduplicator.Unreachable}
 	}
@@ -381,7 +391,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	answer, err := p.client.Ask(ctx, owner.Peer, messenger.Request{Settle: &messenger.Settle{Key: key, Attempt: a, Result: r}})
+	answer, err := p.ask(ctx, owner.Peer, messenger.Request{Settle: &messenger.Settle{Key: key, Attempt: a, Result: r}})
 	return err == nil && answer.Done
 }
 
@@ -451,7 +461,7 @@
 	}
 	keys := p.memory.Freeze(t.Shares)
 	h := &messenger.Handover{Shares: t.Shares, Keys: keys, Levels: levels}
-	a, err := p.client.Ask(ctx, t.To.Peer, messenger.Request{Handover: h})
+	a, err := p.ask(ctx, t.To.Peer, messenger.Request{Handover: h})
 	if err != nil {
 		return err
 	}
--- a/emulator/backend.go
+++ b/emulator/backend.go
@@ -36,6 +36,8 @@
 	Fail bool
 	// Shed makes every call answer 503 without running.
 	Shed bool
+	// Lie makes every answer report no load.
+	Lie bool
 	// Truncate breaks every answer off in the middle.
 	Truncate bool
 }
@@ -136,6 +138,9 @@
 		}
 	}()
 	m := *b.mode.Load()
+	if m.Lie {
+		w.Header().Set(forwarder.LoadHeader, "0")
+	}
 	switch {
 	case m.Shed:
 		http.Error(w, "shed", http.StatusServiceUnavailable)
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -31,6 +31,8 @@
 	target loader.Target
 	// outstanding counts this entry's calls; the service's lock guards it.
 	outstanding int
+	// failures counts the failures in a row; the service's lock guards it.
+	failures int
 	// index is the place in the service's pool, or -1 once the configuration
 	// dropped the target; the service's lock guards it.
 	index picker.Index
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -135,22 +135,13 @@
 func mayRepeat(class loader.Class, res sent) bool {
 	switch res := res.(type) {
 	case gotAnswer:
-		return res.outcome == NotRun || class == loader.Lookup && isGatewayStatus(res.resp.StatusCode)
+		return res.outcome == NotRun || class == loader.Lookup && res.outcome == Failed
 	case gotNothing:
 		return res.outcome == NotRun || class == loader.Lookup
 	}
 	return false
 }
 
-// isGatewayStatus tells whether another backend server may well do better.
-func isGatewayStatus(status int) bool {
-	switch status {
-	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return true
-	}
-	return false
-}
-
 // discard ends a send whose answer the caller will not see.
 func (c *call) discard(b *backend, res sent) {
 	switch res := res.(type) {
@@ -166,7 +157,8 @@
 func (c *call) finish(b *backend, o Outcome) {
 	b.stats.outcomes[o].Inc(1)
 	b.stats.latency.Update(c.timing.backend.Microseconds())
-	c.route.service.release(b)
+	cancelled := c.request.Context().Err() != nil
+	c.route.service.release(b, o == Answered || cancelled)
 }
 
 // answer passes an answer on. An answer that breaks off on the way ends the
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -17,8 +17,16 @@
 	"savoryroad.dev/warmer"
 )
 
-// maxRepeatTokens bounds how many repeats a quiet service can save up.
-const maxRepeatTokens = 20
+const (
+	// maxRepeatTokens bounds how many repeats a quiet service can save up.
+	maxRepeatTokens = 20
+	// penaltyFrom is the number of failures in a row from which on a target's
+	// room is given back late.
+	penaltyFrom = 3
+	// firstPenalty and lastPenalty bound that delay; it doubles in between.
+	firstPenalty = 10 * time.Millisecond
+	lastPenalty  = time.Second
+)
 
 var (
 	errQueueFull = errors.New("the queue is full")
@@ -115,11 +123,11 @@
 			b.target = t
 		} else {
 			b = newBackend(s.name, name, t, settings.Defaults, share, s.rec)
-			b.ramp = warmer.New(warmLimits(t, settings.Defaults))
+			b.ramp = warmer.New(warmLimits(t, settings))
 		}
 		b.index = picker.Index(len(members))
 		b.base = memberLimit(cfg, t, share)
-		b.ramp.Configure(warmLimits(t, settings.Defaults))
+		b.ramp.Configure(warmLimits(t, settings))
 		s.settleRamp(b)
 		s.backends = append(s.backends, b)
 		members = append(members, picker.Member{
@@ -203,14 +211,41 @@
 }
 
 // release counts a call as no longer outstanding, and lets the oldest waiter
-// have the room.
-func (s *service) release(b *backend) {
+// have the room. A target that fails time and again gets its room back later
+// and later, so that it does not attract work by failing fast.
+func (s *service) release(b *backend, good bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if good {
+		b.failures = 0
+	} else {
+		b.failures++
+	}
+	if d := penalty(b.failures); d > 0 {
+		time.AfterFunc(d, func() { s.leave(b) })
+		return
+	}
 	s.free(b)
 	s.giveBack(b)
 }
 
+// leave gives the room of a failed call back.
+func (s *service) leave(b *backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.free(b)
+	s.giveBack(b)
+}
+
+// penalty is how long the room of a failed call stays taken, after that many
+// failures in a row.
+func penalty(failures int) time.Duration {
+	if failures < penaltyFrom {
+		return 0
+	}
+	return min(firstPenalty<<min(failures-penaltyFrom, 10), lastPenalty)
+}
+
 // free gives room back, and lets the oldest waiter have it; the caller holds
 // the lock.
 func (s *service) free(b *backend) {
--- a/forwarder/warmth.go
+++ b/forwarder/warmth.go
@@ -78,8 +78,10 @@
 	return true
 }
 
-func warmLimits(t loader.Target, d loader.TargetDefaults) warmer.Limits {
-	return warmer.Limits{Cold: t.ColdLimit, Answers: d.ColdAnswers, Full: t.Slots}
+// warmLimits says how a target warms up. With permits it never goes beyond its
+// slots.
+func warmLimits(t loader.Target, s loader.Service) warmer.Limits {
+	return warmer.Limits{Cold: t.ColdLimit, Answers: s.Defaults.ColdAnswers, Full: t.Slots, Capped: s.Policy == loader.Permits}
 }
 
 func (s *service) setFleet(v *fleetView) {
--- a/loader/config.go
+++ b/loader/config.go
@@ -47,7 +47,7 @@
 	// Hosts are the Host names the service answers to; none means any.
 	Hosts []string
 	// Policy is the way a target is chosen.
-	Policy Policy `default:"TwoChoices"`
+	Policy Policy `default:"Permits"`
 	// Routes holds the routes by name; at least one.
 	Routes map[RouteName]Route `required:"true"`
 	// Defaults stand for what a target leaves out.
--- a/loader/enum.go
+++ b/loader/enum.go
@@ -35,6 +35,9 @@
 	// TwoChoices draws two targets and takes the less loaded one, by the
 	// load that they carried on their latest answers.
 	TwoChoices
+	// Permits lets no more calls to a target than it has slots, over all
+	// entries; those beyond wait at the entries.
+	Permits
 )
 
 // TargetState says whether operators want new work at a target.
@@ -63,7 +66,7 @@
 func (c *Class) UnmarshalText(text []byte) error { return parseEnum(c, text, Upload) }
 
 // UnmarshalText reads the name of a policy.
-func (p *Policy) UnmarshalText(text []byte) error { return parseEnum(p, text, TwoChoices) }
+func (p *Policy) UnmarshalText(text []byte) error { return parseEnum(p, text, Permits) }
 
 // UnmarshalText reads the name of a target's state.
 func (s *TargetState) UnmarshalText(text []byte) error { return parseEnum(s, text, Draining) }
@@ -84,7 +87,7 @@
 func (s DataCentreState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
 func (Class) names() []string           { return enumNames(Upload) }
-func (Policy) names() []string          { return enumNames(TwoChoices) }
+func (Policy) names() []string          { return enumNames(Permits) }
 func (TargetState) names() []string     { return enumNames(Draining) }
 func (DataCentreState) names() []string { return enumNames(Out) }
 
--- a/loader/enum_string.go
+++ b/loader/enum_string.go
@@ -32,11 +32,12 @@
 	_ = x[RoundRobin-1]
 	_ = x[LeastOutstanding-2]
 	_ = x[TwoChoices-3]
+	_ = x[Permits-4]
 }
 
-const _Policy_name = "RandomRoundRobinLeastOutstandingTwoChoices"
+const _Policy_name = "RandomRoundRobinLeastOutstandingTwoChoicesPermits"
 
-var _Policy_index = [...]uint8{0, 6, 16, 32, 42}
+var _Policy_index = [...]uint8{0, 6, 16, 32, 42, 49}
 
 func (i Policy) String() string {
 	idx := int(i) - 0
--- a/savorybench/main.go
+++ b/savorybench/main.go
@@ -15,6 +15,7 @@
 type program struct {
 	Demo  demoCmd  `cmd:"" help:"Run a whole system in this process, serve callers for a few seconds, print a summary and end. Example: savorybench demo --users sunkissed --entries 3"`
 	Added addedCmd `cmd:"" help:"Measure what an entry adds to a call. Example: savorybench added --rounds 5"`
+	Run   runCmd   `cmd:"" help:"Run one load experiment with 18 entries and 20 servers. Example: savorybench run slow --policy TwoChoices --seed 3"`
 	Bulk  bulkCmd  `cmd:"" help:"Pass a large upload and a large answer through an entry and measure the memory. Example: savorybench bulk --mebibytes 1024"`
 }
 
--- a/warmer/warmer.go
+++ b/warmer/warmer.go
@@ -66,6 +66,9 @@
 	Answers int
 	// Full is the limit from which on a target counts as warm.
 	Full int
+	// Capped is set when a target that bears its full limit is kept at that
+	// limit, in place of having none.
+	Capped bool
 }
 
 // New returns the ramp of a target of which nothing is known; it counts as
@@ -85,7 +88,7 @@
 // Answered notes an answer, and tells whether the level rose, which is to be
 // announced. Only the home raises it.
 func (r *Ramp) Answered(good bool) bool {
-	if !r.Home || r.Level.Warm() {
+	if !r.Home || r.Level.Warm() || r.limits.Capped && r.Level.Allowed >= r.limits.Full {
 		return false
 	}
 	if !good {
@@ -98,8 +101,12 @@
 	}
 	r.good = 0
 	r.Level.Allowed *= 2
-	if r.Level.Allowed >= r.limits.Full {
-		r.Level.Allowed = 0
+	if r.Level.Allowed < r.limits.Full {
+		return true
+	}
+	r.Level.Allowed = 0
+	if r.limits.Capped {
+		r.Level.Allowed = r.limits.Full
 	}
 	return true
 }
