--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PACKAGES = ./... ./savoryroad/... ./savoryctl/... ./savorybench/...
 
-.PHONY: build demo test check bench fuzz soak format
+.PHONY: build demo test check bench capacity fuzz soak format
 
 build:
 	go build -o bin/ ./savoryroad ./savoryctl ./savorybench
@@ -23,8 +23,13 @@
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
 	go run ./savorybench added
 
+capacity:
+	go test -run '^$$' -bench 'Capacity|Pick' -benchmem -benchtime 20x ./loader ./publisher ./deduplicator
+	go test -run '^$$' -bench Pick ./picker
+	go run ./savorybench idle
+
 fuzz:
 	go test -run '^$$' -fuzz FuzzRender -fuzztime 30s ./loader
 
 soak:
-	go test ./loader ./publisher ./registrar ./deduplicator -run Property -rapid.seed=0 -rapid.checks=10000
+	go test ./loader ./publisher ./registrar ./deduplicator ./warmer ./picker -run Property -rapid.seed=0 -rapid.checks=10000
--- a/balancer/operator.go
+++ b/balancer/operator.go
@@ -44,6 +44,8 @@
 	Keys int
 	// Requests counts the requests sent to peers.
 	Requests int64
+	// Bytes counts the bytes of those requests and their answers.
+	Bytes int64
 }
 
 // operatorServer returns the server for operators and the platform's balancer.
@@ -95,7 +97,7 @@
 		Settings: b.settings.Redacted(),
 		Control:  b.loop.Model(),
 		Traffic:  b.forwarder.Dump(),
-		Peers:    PeersDump{Keys: b.peers.memory.Len(), Requests: b.peers.asked.Count()},
+		Peers:    PeersDump{Keys: b.peers.memory.Len(), Requests: b.peers.asked.Count(), Bytes: b.peers.bytes()},
 	}
 }
 
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -202,6 +202,13 @@
 	return p.client.Ask(ctx, peer, r)
 }
 
+func (p *peers) bytes() int64 {
+	if p.client == nil {
+		return 0
+	}
+	return p.client.Bytes()
+}
+
 // digest says how far this entry has read the log.
 func (p *peers) digest() *messenger.Digest {
 	m := p.b.loop.Model()
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"savoryroad.dev/appender"
@@ -38,6 +39,17 @@
 // MarshalText writes the name of the phase.
 func (p Phase) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
 
+// UnmarshalText reads the name of a phase.
+func (p *Phase) UnmarshalText(text []byte) error {
+	for phase := Starting; phase <= Stopping; phase++ {
+		if phase.String() == string(text) {
+			*p = phase
+			return nil
+		}
+	}
+	return errors.Newf("unknown phase %q", text)
+}
+
 // Model is the blackboard. Update treats it as a value; a copy of it is never
 // changed by a later Update.
 type Model struct {
--- a/loader/config.go
+++ b/loader/config.go
@@ -27,7 +27,7 @@
 	Retention time.Duration `default:"24h" min:"10s" max:"720h"`
 	// MaxHeaderBytes bounds a caller's request headers, in bytes.
 	MaxHeaderBytes int `default:"65536" min:"1024" max:"1048576"`
-	// MaxBodyBytes bounds a caller's request body, in MiB.
+	// MaxBodyMiB bounds a caller's request body, in MiB.
 	MaxBodyMiB int `default:"4096" min:"1" max:"1048576"`
 	// DataCentres holds every data centre that a target may stand in.
 	DataCentres map[DataCentreName]DataCentre `required:"true"`
--- /dev/null
+++ b/loader/reference_test.go
@@ -0,0 +1,152 @@
+package loader
+
+import (
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write docs/CONFIGURATION.md anew")
+
+const referenceFile = "../docs/CONFIGURATION.md"
+
+const referenceHead = `# Configuration
+
+Operators publish one base document, and for each site an overlay that states
+only what differs there. Both are YAML with Pascal case names. Each entry also
+has a settings file of its own.
+
+An overlay merges into the base by name. A value of the overlay replaces that of
+the base. An item that the base lacks carries "Add: true", and an item that
+does not exist at the site carries "Remove: true".
+
+A value outside its range, an unknown or doubled name, an empty value, an alias
+or a reference to what does not exist is a finding. Every finding is reported,
+each with file, line, column and what would be right, and a configuration with
+findings is not published. Durations are written as 250ms, 10s or 24h.
+
+The tables are generated from the program's own definitions.
+`
+
+// The reference names every field of the configuration and of the settings.
+func TestReferenceIsUpToDate(t *testing.T) {
+	docs := fieldDocs(t, "config.go", "settings.go")
+	var b strings.Builder
+	b.WriteString(referenceHead)
+	for _, section := range []struct {
+		title string
+		of    any
+	}{
+		{"Base and overlays", Config{}},
+		{"DataCentres, by name", DataCentre{}},
+		{"Services, by name", Service{}},
+		{"Services: Defaults", TargetDefaults{}},
+		{"Services: Retry", Retry{}},
+		{"Services: Routes, by name", Route{}},
+		{"Services: Targets, by name", Target{}},
+		{"Settings of an entry", Settings{}},
+		{"Settings: Peers", Peers{}},
+		{"Settings: TLS", TLS{}},
+	} {
+		writeSection(&b, section.title, reflect.TypeOf(section.of), docs)
+	}
+	if *update {
+		if err := os.WriteFile(referenceFile, []byte(b.String()), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(referenceFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(b.String(), string(got)); diff != "" {
+		t.Errorf("run: go test ./loader -run Reference -update\n%s", diff)
+	}
+}
+
+func writeSection(b *strings.Builder, title string, t reflect.Type, docs map[string]string) {
+	fmt.Fprintf(b, "\n## %s\n\n| Field | Value | Default | Range | Meaning |\n| --- | --- | --- | --- | --- |\n", title)
+	for i := range t.NumField() {
+		f := t.Field(i)
+		fmt.Fprintf(b, "| %s | %s | %s | %s | %s |\n", f.Name, valueKind(f.Type), defaultOf(f), rangeOf(f), docs[t.Name()+"."+f.Name])
+	}
+}
+
+func valueKind(t reflect.Type) string {
+	switch e := reflect.New(t).Elem().Interface().(type) {
+	case interface{ names() []string }:
+		return strings.Join(e.names(), ", ")
+	}
+	switch {
+	case t == durationType:
+		return "duration"
+	case t.Kind() == reflect.Slice:
+		return "list of " + valueKind(t.Elem())
+	case t.Kind() == reflect.Map:
+		return "items by name"
+	case t.Name() == "AddrPort":
+		return "IP address and port"
+	case t.Name() == "Address":
+		return "URL"
+	case t.Kind() == reflect.Struct:
+		return "fields"
+	case t.Kind() == reflect.String:
+		return "text"
+	default:
+		return "whole number"
+	}
+}
+
+func defaultOf(f reflect.StructField) string {
+	if f.Tag.Get("required") == "true" {
+		return "must be given"
+	}
+	return f.Tag.Get("default")
+}
+
+func rangeOf(f reflect.StructField) string {
+	if f.Tag.Get("max") == "" {
+		return ""
+	}
+	return f.Tag.Get("min") + " to " + f.Tag.Get("max")
+}
+
+// fieldDocs returns the doc comments of all fields, by "Type.Field".
+func fieldDocs(t *testing.T, files ...string) map[string]string {
+	t.Helper()
+	docs := map[string]string{}
+	for _, file := range files {
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ParseComments)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(parsed, func(n ast.Node) bool {
+			spec, ok := n.(*ast.TypeSpec)
+			if !ok {
+				return true
+			}
+			if s, ok := spec.Type.(*ast.StructType); ok {
+				addFieldDocs(docs, spec.Name.Name, s)
+			}
+			return false
+		})
+	}
+	return docs
+}
+
+func addFieldDocs(docs map[string]string, name string, s *ast.StructType) {
+	for _, f := range s.Fields.List {
+		text := strings.Join(strings.Fields(f.Doc.Text()), " ")
+		for _, id := range f.Names {
+			docs[name+"."+id.Name] = text
+		}
+	}
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -239,6 +240,8 @@
 // Client asks peers. It keeps one connection to each.
 type Client struct {
 	tls *tls.Config
+	// bytes counts the bytes of messages sent and received.
+	bytes atomic.Int64
 
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*quic.Conn
@@ -249,6 +252,10 @@
 	return &Client{tls: cfg, conns: map[netip.AddrPort]*quic.Conn{}}
 }
 
+// Bytes returns the bytes of all requests and answers so far, without what the
+// transport adds.
+func (c *Client) Bytes() int64 { return c.bytes.Load() }
+
 // Close drops every connection.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -267,7 +274,7 @@
 	if err != nil {
 		return Answer{}, errors.Wrapf(err, "peer %s", peer)
 	}
-	a, err := exchange(ctx, conn, r)
+	a, err := exchange(ctx, conn, r, &c.bytes)
 	if err != nil {
 		c.drop(peer, conn)
 		return Answer{}, errors.Wrapf(err, "peer %s", peer)
@@ -309,7 +316,7 @@
 	}
 }
 
-func exchange(ctx context.Context, conn *quic.Conn, r Request) (Answer, error) {
+func exchange(ctx context.Context, conn *quic.Conn, r Request, bytes *atomic.Int64) (Answer, error) {
 	var a Answer
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
@@ -321,13 +328,34 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
 	defer stop()
-	if err := writeMessage(stream, r); err != nil {
+	counted := countingStream{stream, bytes}
+	if err := writeMessage(counted, r); err != nil {
 		return a, err
 	}
 	if err := stream.Close(); err != nil {
 		return a, err
 	}
-	return a, readMessage(stream, &a)
+	return a, readMessage(counted, &a)
+}
+
+// countingStream counts what passes.
+type countingStream struct {
+	io.ReadWriter
+	bytes *atomic.Int64
+}
+
+// Read reads and counts.
+func (s countingStream) Read(p []byte) (int, error) {
+	n, err := s.ReadWriter.Read(p)
+	s.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (s countingStream) Write(p []byte) (int, error) {
+	n, err := s.ReadWriter.Write(p)
+	s.bytes.Add(int64(n))
+	return n, err
 }
 
 func writeMessage(w io.Writer, v any) error {
--- a/savoryctl/main_test.go
+++ b/savoryctl/main_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"savoryroad.dev/emulator"
+	"savoryroad.dev/loader"
 	"savoryroad.dev/publisher"
 )
 
@@ -134,6 +135,27 @@
 	}
 }
 
+// The tool reads what a running entry answers.
+func TestStatusAndDumpOfAnEntry(t *testing.T) {
+	f, err := emulator.NewFleet(t.Context(), emulator.FleetOptions{
+		Base: loader.MustParse("base.yaml", base), Entries: 1, Retention: time.Hour, Seed: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	endpoint := f.Entries[0].OperatorsAddr().String()
+	if code, out := ctl(t, "status", "--entries", endpoint); code != 0 || !strings.Contains(out, "entry-01  Stand-in     Serving  1") {
+		t.Errorf("status: %d %s", code, out)
+	}
+	if code, out := ctl(t, "dump", "--entry", endpoint); code != 0 || !strings.Contains(out, `"InForce": 1`) {
+		t.Errorf("dump: %d %s", code, out)
+	}
+	if code, out := ctl(t, "history", "--log", f.LogURL); code != 0 || !strings.Contains(out, "fleet") {
+		t.Errorf("history: %d %s", code, out)
+	}
+}
+
 func TestHelpShowsExamples(t *testing.T) {
 	for _, cmd := range []string{"validate", "render", "publish", "fetch", "history", "status", "drain", "restore", "dump"} {
 		if code, out := ctl(t, cmd, "--help"); code != 0 || !strings.Contains(out, "Example: savoryctl "+cmd) {
