Stop calls that crash servers; make an entry at 14,000 targets fit its memory

Change: isolator, strikes told to all entries, bodies that the HTTP client can't repeat; metrics of a target are made at its first send, with samples of 512; revisions that follow each other closely are rendered once.

--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,9 @@
 	go run ./savorybench added
 
 capacity:
-	go test -run '^$$' -bench 'Capacity|Pick' -benchmem -benchtime 20x ./loader ./publisher ./deduplicator
+	go test -run '^$$' -bench 'Capacity|Pick' -benchmem -benchtime 20x ./loader ./publisher ./deduplicator ./forwarder
 	go test -run '^$$' -bench Pick ./picker
+	go test -run '^$$' -bench Capacity -benchtime 5000x ./messenger
 	go run ./savorybench idle
 
 fuzz:
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -116,6 +116,7 @@
 	}
 	b.forwarder.SetClaimer(b.peers)
 	b.forwarder.SetWarmthTeller(b.peers.tell)
+	b.forwarder.SetStriker(b.peers.strike)
 	b.forwarder.SetBorrower(b.peers.askLoan)
 	b.peers.limitTraffic()
 	b.loop = controller.NewLoop(controller.New(s, jitter, b.peers.self), b.carryOut)
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -14,11 +12,9 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
-	"savoryroad.dev/appender"
-	"savoryroad.dev/controller"
 	"savoryroad.dev/deduplicator"
+	"savoryroad.dev/isolator"
 	"savoryroad.dev/messenger"
-	"savoryroad.dev/publisher"
 	"savoryroad.dev/registrar"
 	"savoryroad.dev/warmer"
 )
@@ -66,6 +62,8 @@
 	server *messenger.Server
 	// news waits to be told to peers.
 	news chan warmer.News
+	// strikes waits to be told to peers.
+	strikes chan isolator.Strike
 	// loans waits to be asked for or given back.
 	loans chan warmer.Loan
 	// leaving guards and holds the shares that are being given away.
@@ -81,12 +79,13 @@
 
 func newPeers(b *Balancer) (*peers, error) {
 	p := &peers{
-		b:      b,
-		memory: deduplicator.New(),
-		kicked: make(chan struct{}, 1),
-		asked:  b.rec.Counter("peer_requests_total"),
-		news:   make(chan warmer.News, newsWaiting),
-		loans:  make(chan warmer.Loan, newsWaiting),
+		b:       b,
+		memory:  deduplicator.New(),
+		kicked:  make(chan struct{}, 1),
+		asked:   b.rec.Counter("peer_requests_total"),
+		news:    make(chan warmer.News, newsWaiting),
+		loans:   make(chan warmer.Loan, newsWaiting),
+		strikes: make(chan isolator.Strike, newsWaiting),
 		self: registrar.Owner{
 			Incarnation: registrar.Incarnation(uuid.NewString()),
 			Entry:       b.settings.Name,
@@ -137,6 +136,8 @@
 			p.memory.Forget(time.Now())
 		case n := <-p.news:
 			p.spread(ctx, n)
+		case s := <-p.strikes:
+			p.tellAll(ctx, messenger.Request{Strike: &s})
 		case l := <-p.loans:
 			go p.settleLoan(ctx, l)
 		}
@@ -163,14 +164,6 @@
 	p.b.forwarder.SetFleet(*p.table.Load(), p.self.Incarnation, p.leaving.shares)
 }
 
-// setLeaving sets the shares that are being given away.
-func (p *peers) setLeaving(shares []registrar.Share) {
-	p.leaving.Lock()
-	p.leaving.shares = shares
-	p.leaving.Unlock()
-	p.limitTraffic()
-}
-
 // kick asks for a round of digests at once.
 func (p *peers) kick() {
 	select {
@@ -211,81 +204,6 @@
 	return p.client.Bytes()
 }
 
-// digest says how far this entry has read the log.
-func (p *peers) digest() *messenger.Digest {
-	m := p.b.loop.Model()
-	return &messenger.Digest{
-		From:     p.self,
-		Stopping: m.Phase == controller.Stopping,
-		Next:     m.Reader.Next,
-		Revision: m.Reader.State.Revision,
-		Synced:   m.Reader.Synced,
-	}
-}
-
-// gossip sends a digest to a few peers drawn at random. Whoever of the two is
-// behind learns what it lacks.
-func (p *peers) gossip(ctx context.Context) {
-	if p.client == nil {
-		return
-	}
-	known := p.addresses()
-	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
-	for _, peer := range known[:min(gossipFanout, len(known))] {
-		go p.exchange(ctx, peer)
-	}
-}
-
-// addresses lists the owners of shares, other peers heard of, and the seeds.
-func (p *peers) addresses() []netip.AddrPort {
-	set := map[netip.AddrPort]bool{}
-	for _, o := range p.table.Load().Owners() {
-		set[o.Peer] = true
-	}
-	for _, seen := range p.b.loop.Model().Fleet.Peers {
-		set[seen.Peer.Peer] = true
-	}
-	for _, seed := range p.b.settings.Peers.Seeds {
-		set[seed] = true
-	}
-	delete(set, p.self.Peer)
-	delete(set, netip.AddrPort{})
-	var all []netip.AddrPort
-	for a := range set {
-		all = append(all, a)
-	}
-	return all
-}
-
-// exchange compares notes with a peer.
-func (p *peers) exchange(ctx context.Context, peer netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	a, err := p.ask(ctx, peer, messenger.Request{Digest: p.digest()})
-	if err != nil || a.Digest == nil {
-		return
-	}
-	p.heard(ctx, *a.Digest)
-	p.hearAll(a.Levels)
-	if len(a.Records) > 0 {
-		if page, err := a.Page(); err == nil {
-			p.b.loop.Send(ctx, controller.PeerPageMsg{Page: page})
-		}
-		return
-	}
-	if len(a.Reader) > 0 {
-		var r publisher.Reader
-		if err := json.Unmarshal(a.Reader, &r); err == nil {
-			p.b.loop.Send(ctx, controller.PeerStateMsg{Reader: r})
-		}
-	}
-}
-
-// heard notes that a peer lives; one that is behind is told at once.
-func (p *peers) heard(ctx context.Context, d messenger.Digest) {
-	p.b.loop.Send(ctx, controller.PeerSeenMsg{Peer: d.From, Stopping: d.Stopping})
-}
-
 // handle answers a peer's request.
 func (p *peers) handle(ctx context.Context, r messenger.Request) messenger.Answer {
 	switch {
@@ -296,6 +214,9 @@
 	case len(r.News) > 0:
 		p.hearAll(r.News)
 		return messenger.Answer{Done: true}
+	case r.Strike != nil:
+		p.b.forwarder.HearStrike(*r.Strike)
+		return messenger.Answer{Done: true}
 	case r.Loan != nil:
 		return messenger.Answer{Done: p.b.forwarder.Lend(*r.Loan)}
 	case r.Handover != nil:
@@ -307,199 +228,3 @@
 	}
 	return messenger.Answer{}
 }
-
-// answerDigest gives a peer that is behind what it lacks, and asks one that is
-// ahead.
-func (p *peers) answerDigest(ctx context.Context, d messenger.Digest) messenger.Answer {
-	p.heard(ctx, d)
-	own := p.digest()
-	a := messenger.Answer{Digest: own, Levels: p.b.forwarder.HomeLevels()}
-	switch {
-	case own.Synced && d.Next < own.Next, own.Synced && !d.Synced && d.Next == own.Next:
-		p.fill(&a, d)
-	case d.Synced && d.Next > own.Next && d.From.Peer.IsValid():
-		go p.exchange(context.WithoutCancel(ctx), d.From.Peer)
-	}
-	return a
-}
-
-// fill adds the records that a peer lacks, or the whole state when too many
-// are missing.
-func (p *peers) fill(a *messenger.Answer, d messenger.Digest) {
-	m := p.b.loop.Model()
-	covered := len(m.Recent) > 0 && m.Recent[0].Offset <= d.Next && (d.Synced || d.Next == 0)
-	if !covered {
-		a.Reader, _ = json.Marshal(m.Reader)
-		return
-	}
-	page := appender.Page{Head: d.Next, Next: m.Reader.Next, End: m.Reader.Next}
-	page.Records = m.Recent[d.Next-m.Recent[0].Offset:]
-	a.Records, _ = json.Marshal(page)
-}
-
-// Claim asks the owner of the key for the right to dispatch a call.
-func (p *peers) Claim(ctx context.Context, c deduplicator.Claim) deduplicator.Verdict {
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	for {
-		v := p.claimOnce(ctx, c)
-		refused, ok := v.(deduplicator.Refused)
-		if !ok || refused.Reason != deduplicator.NotOwner && refused.Reason != deduplicator.Unreachable {
-			return v
-		}
-		select {
-		case <-time.After(claimPause):
-		case <-ctx.Done():
-			return deduplicator.Refused{Reason: deduplicator.Unreachable}
-		}
-	}
-}
-
-func (p *peers) claimOnce(ctx context.Context, c deduplicator.Claim) deduplicator.Verdict {
-	owner, ok := p.table.Load().Owner(registrar.ShareOf(c.Key))
-	switch {
-	case !ok:
-		return deduplicator.Refused{Reason: deduplicator.Unreachable}
-	case owner.Incarnation == p.self.Incarnation:
-		return p.memory.Claim(c, time.Now())
-	case p.client == nil:
-		return deduplicator.Refused{Reason: deduplicator.Unreachable}
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	a, err := p.ask(ctx, owner.Peer, messenger.Request{Claim: &c})
-	if err != nil {
-		return deduplicator.Refused{Reason: deduplicator.Unreachable}
-	}
-	return a.Claim.Verdict()
-}
-
-// Settle tells the owner of a key how a dispatch ended. It returns at once and
-// goes on trying for a while.
-func (p *peers) Settle(key string, a deduplicator.Attempt, r deduplicator.Result) {
-	if p.settleOnce(context.Background(), key, a, r, true) {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-		defer cancel()
-		for ctx.Err() == nil && !p.settleOnce(ctx, key, a, r, false) {
-			time.Sleep(settlePause)
-		}
-	}()
-}
-
-// settleOnce tries once; only what needs no message when local is set.
-func (p *peers) settleOnce(ctx context.Context, key string, a deduplicator.Attempt, r deduplicator.Result, local bool) bool {
-	owner, ok := p.table.Load().Owner(registrar.ShareOf(key))
-	if ok && owner.Incarnation == p.self.Incarnation {
-		return p.memory.Settle(key, a, r)
-	}
-	if !ok || local || p.client == nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	answer, err := p.ask(ctx, owner.Peer, messenger.Request{Settle: &messenger.Settle{Key: key, Attempt: a, Result: r}})
-	return err == nil && answer.Done
-}
-
-// appendRecord appends a record about shares, and tells the loop.
-func (p *peers) appendRecord(r registrar.Record) {
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
-	defer cancel()
-	err := p.append(ctx, r)
-	p.b.loop.Send(ctx, controller.FleetDoneMsg{Err: err})
-}
-
-// append appends a record. After errUncertain it may be in the log or get
-// there yet; after any other error it is not and never will be.
-func (p *peers) append(ctx context.Context, r registrar.Record) error {
-	data, err := json.Marshal(publisher.Entry{Fleet: &r})
-	if err != nil {
-		return errors.Wrap(err, "record")
-	}
-	switch o := p.b.log.Append(ctx, publisher.Stream, data).(type) {
-	case appender.Refused:
-		return o.Reason
-	case appender.Unknown:
-		return errors.Mark(o.Cause, errUncertain)
-	}
-	return nil
-}
-
-// handOver gives shares to a peer. From the moment that the peer has their
-// memory until the log says who owns them, nobody grants keys of theirs.
-func (p *peers) handOver(t registrar.Transfer) {
-	err := p.tryHandOver(t)
-	p.b.loop.Send(context.Background(), controller.FleetDoneMsg{Err: err})
-}
-
-// tryHandOver fails without consequences until the record is appended; after
-// that it goes on until the outcome is known.
-func (p *peers) tryHandOver(t registrar.Transfer) error {
-	if p.client == nil {
-		return errors.New("entry has no peers")
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
-	defer cancel()
-	// A log that can't be read would leave the shares in nobody's hands.
-	if _, err := p.b.log.Read(ctx, publisher.Stream, p.b.loop.Model().Reader.Next, 0); err != nil {
-		return err
-	}
-	levels := p.b.forwarder.HomeLevels()
-	p.setLeaving(t.Shares)
-	err := p.giveAway(ctx, t, levels)
-	if err != nil && !errors.Is(err, errUncertain) {
-		p.memory.Thaw(t.Shares)
-		p.setLeaving(nil)
-		return err
-	}
-	err = p.settleTransfer(t)
-	p.setLeaving(nil)
-	return err
-}
-
-// giveAway waits until this entry's calls fit in what it keeps, sends the
-// memory of the shares, and appends the record.
-func (p *peers) giveAway(ctx context.Context, t registrar.Transfer, levels []warmer.News) error {
-	for end := time.Now().Add(ownTimeout); !p.b.forwarder.Settled(); time.Sleep(releasePoll) {
-		if time.Now().After(end) {
-			return errors.New("calls at a cold target take too long")
-		}
-	}
-	keys := p.memory.Freeze(t.Shares)
-	h := &messenger.Handover{Shares: t.Shares, Keys: keys, Levels: levels}
-	a, err := p.ask(ctx, t.To.Peer, messenger.Request{Handover: h})
-	if err != nil {
-		return err
-	}
-	if !a.Done {
-		return errors.New("peer did not take the memory")
-	}
-	return p.append(ctx, registrar.Record{Transfer: &t})
-}
-
-// settleTransfer waits until the log says who owns the shares, and appends the
-// record again, which is harmless, while it does not. An entry that is asked
-// to end at once gives up.
-func (p *peers) settleTransfer(t registrar.Transfer) error {
-	again := time.NewTicker(ownTimeout)
-	defer again.Stop()
-	look := time.NewTicker(releasePoll)
-	defer look.Stop()
-	for {
-		if o, _ := p.table.Load().Owner(t.Shares[0]); o.Incarnation != p.self.Incarnation {
-			return nil
-		}
-		select {
-		case <-look.C:
-		case <-again.C:
-			ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
-			_ = p.append(ctx, registrar.Record{Transfer: &t})
-			cancel()
-		case <-p.b.released:
-			return errUncertain
-		}
-	}
-}
--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -10,6 +10,10 @@
 	"savoryroad.dev/publisher"
 )
 
+// renderPause is the least time between two renderings, for each byte of the
+// base. Rendering takes about a fortieth of it.
+const renderPause = 6 * time.Microsecond
+
 // keptRecords is the number of records kept for peers that are behind.
 const keptRecords = 256
 
@@ -67,10 +71,24 @@
 	if m.Reader.State.Revision == before.State.Revision {
 		return m, cmds
 	}
-	m, more := m.install(now)
+	m.Waiting = true
+	m, more := m.installWaiting(now)
 	return m, append(cmds, more...)
 }
 
+// installWaiting puts the newest revision in force, unless the one before is
+// so recent that rendering again would take too much of a processor. The next
+// tick tries again, so that revisions in between are skipped.
+func (m Model) installWaiting(now time.Time) (Model, []Cmd) {
+	pause := time.Duration(len(m.Reader.State.Base)) * renderPause
+	if !m.Waiting || now.Sub(m.Rendered) < pause {
+		return m, nil
+	}
+	m.Waiting = false
+	m.Rendered = now
+	return m.install(now)
+}
+
 // keepRecent appends the records from an offset on to those kept for peers.
 func keepRecent(kept, records []appender.Record, from appender.Offset) []appender.Record {
 	out := slices.Clone(kept)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -10,6 +10,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,6 +67,10 @@
 	InForce publisher.Revision
 	// InForceSince is when it came into force, by this entry's clock.
 	InForceSince time.Time
+	// Waiting is set while the newest revision waits to be rendered, and
+	// Rendered is when one last was.
+	Waiting  bool
+	Rendered time.Time
 	// Findings are those of the newest revision, when it can't be used here;
 	// the older revision then stays in force.
 	Findings loader.Findings
@@ -246,7 +251,8 @@
 
 // tick does what falls due with time.
 func (m Model) tick(now time.Time) (Model, []Cmd) {
-	m, cmds := m.keepSnapshot(now)
-	m, more := m.manageShares(now)
-	return m, append(cmds, more...)
+	m, cmds := m.installWaiting(now)
+	m, more := m.keepSnapshot(now)
+	m, last := m.manageShares(now)
+	return m, slices.Concat(cmds, more, last)
 }
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -90,10 +90,12 @@
 	m := controller.New(settings, 0, self)
 	m, _ = m.Update(pageOf(t, 0, changeTo(t, "a", publisher.State{}, usable)), now)
 	bad := strings.Replace(usable, "/buy", "buy", 1)
+	now = now.Add(time.Second)
 	m, cmds := m.Update(pageOf(t, 1, changeTo(t, "b", m.Reader.State, bad)), now)
 	if got := installs(cmds); len(got) != 0 || m.InForce != 1 || len(m.Findings) != 1 {
 		t.Errorf("installed %v, in force %d, findings %v", got, m.InForce, m.Findings)
 	}
+	now = now.Add(time.Second)
 	m, cmds = m.Update(pageOf(t, 2, changeTo(t, "c", m.Reader.State, usable)), now)
 	if got := installs(cmds); len(got) != 1 || got[0] != 3 || len(m.Findings) != 0 {
 		t.Errorf("installed %v, findings %v; want revision 3 and none", got, m.Findings)
@@ -191,6 +193,26 @@
 	})
 }
 
+// Revisions that follow each other closely are rendered once, at the next tick,
+// and the newest is the one in force.
+func TestCloseRevisionsAreRenderedOnce(t *testing.T) {
+	now := time.Unix(0, 0)
+	m := controller.New(settings, 0, self)
+	m, _ = m.Update(pageOf(t, 0, changeTo(t, "a", publisher.State{}, usable)), now)
+	for n := 1; n <= 5; n++ {
+		c := publisher.Change{ID: publisher.ChangeID(strings.Repeat("b", n)), Expected: m.Reader.State.Revision, Base: json.RawMessage(`{"Entries":"7"}`)}
+		var cmds []controller.Cmd
+		m, cmds = m.Update(pageOf(t, n, c), now)
+		if got := installs(cmds); len(got) != 0 {
+			t.Errorf("installed %v at once", got)
+		}
+	}
+	m, cmds := m.Update(controller.TickMsg{}, now.Add(time.Second))
+	if got := installs(cmds); len(got) != 1 || got[0] != 6 || m.InForce != 6 {
+		t.Errorf("installed %v at the tick, want revision 6", got)
+	}
+}
+
 // A new revision reaches every follower in well under a second.
 func TestChangeReachesFollowersAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/emulator/backend.go
+++ b/emulator/backend.go
@@ -56,6 +56,10 @@
 
 	// cold is the present cold start; nil once the server is warm.
 	cold atomic.Pointer[coldStart]
+	// crashPath is the path of calls that crash the server; crashes counts
+	// them.
+	crashPath string
+	crashes   atomic.Int64
 	// starts counts the starts; it names the run.
 	starts atomic.Int64
 	// overCold counts the calls that came above the cold limit, ever.
@@ -70,9 +74,10 @@
 // NewBackend returns a backend server with that many slots.
 func NewBackend(slots int, mode BackendMode, seed uint64) *Backend {
 	b := &Backend{
-		slots: make(chan struct{}, slots),
-		runs:  map[string]int{},
-		rng:   rand.New(rand.NewPCG(seed, 2)),
+		slots:     make(chan struct{}, slots),
+		runs:      map[string]int{},
+		crashPath: "/balances/crash",
+		rng:       rand.New(rand.NewPCG(seed, 2)),
 	}
 	b.SetMode(mode)
 	return b
@@ -96,6 +101,9 @@
 	b.starts.Add(1)
 }
 
+// Crashes returns how often a call to /balances/crash crashed the server.
+func (b *Backend) Crashes() int64 { return b.crashes.Load() }
+
 // Cold tells whether the server is in cold start.
 func (b *Backend) Cold() bool { return b.cold.Load() != nil }
 
@@ -178,6 +186,10 @@
 // run reads the call whole, holds the slot for the service time and answers.
 func (b *Backend) run(w http.ResponseWriter, r *http.Request, m BackendMode) {
 	b.calls.Add(1)
+	if r.URL.Path == b.crashPath {
+		b.crashes.Add(1)
+		panic(http.ErrAbortHandler)
+	}
 	b.noteRun(r.Header.Get(forwarder.KeyHeader))
 	sum := sha256.New()
 	n, err := io.Copy(sum, r.Body)
--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -100,6 +100,14 @@
 	return c
 }
 
+// SetEntries changes the entries that new calls go to.
+func (c *Callers) SetEntries(entries []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries = slices.Clone(entries)
+	c.next = 0
+}
+
 // Close drops the idle connections.
 func (c *Callers) Close() { c.client.CloseIdleConnections() }
 
--- a/emulator/cold_test.go
+++ b/emulator/cold_test.go
@@ -1,6 +1,7 @@
 package emulator_test
 
 import (
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -58,3 +59,27 @@
 		t.Errorf("tally: sent %d, whole %d, %v", tally.Sent, tally.Whole, tally.Classed)
 	}
 }
+
+// A call that crashes every server that runs it is stopped after two of them,
+// though its caller sends it again through every entry; other calls go on.
+func TestCrashingCallIsStopped(t *testing.T) {
+	f := newFleet(t, 3, strings.Replace(coldBase, "ColdAnswers: 20", "ColdAnswers: 1", 1))
+	callers := emulator.NewCallers(f.Addresses(), 4)
+	defer callers.Close()
+	for range 12 {
+		callers.Do(t.Context(), emulator.Call{Method: "GET", Path: "/balances/crash"})
+		time.Sleep(20 * time.Millisecond) // Longer than the word takes.
+	}
+	crashes := int64(0)
+	for _, b := range f.Backends {
+		crashes += b.Crashes()
+	}
+	if crashes > 2 {
+		t.Errorf("%d servers crashed, want at most 2", crashes)
+	}
+	for range 12 {
+		if got := callers.Do(t.Context(), emulator.Call{Method: "GET", Path: "/balances/1"}); got != "Answered" {
+			t.Errorf("other call: %s", got)
+		}
+	}
+}
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,7 +40,7 @@
 	// VMs is the platform's list of VMs, and VMsURL where it is served.
 	VMs    *VMs
 	VMsURL string
-	// Entries are the running entries.
+	// Entries are the running entries, in order of their start.
 	Entries []*FleetEntry
 	// Backends holds the backend servers.
 	Backends map[TargetKey]*Backend
@@ -48,6 +49,8 @@
 	// Published is how the configuration was accepted.
 	Published publisher.Accepted
 
+	// mu guards Entries against Running.
+	mu      sync.Mutex
 	opts    FleetOptions
 	servers []*Server
 	// authority signs the entries' keys; dir holds their files.
@@ -259,7 +262,7 @@
 	f.VMs.Add(name)
 	runCtx, stop := context.WithCancel(context.Background())
 	e := &FleetEntry{Balancer: b, Name: name, stop: stop, done: make(chan error, 1)}
-	f.Entries = append(f.Entries, e)
+	f.setEntries(append(slices.Clone(f.Entries), e))
 	go func() { e.done <- b.Run(runCtx) }()
 	return e, poll(ctx, string(name)+" is ready", e.Ready)
 }
@@ -310,7 +313,20 @@
 
 func (f *Fleet) forget(e *FleetEntry) {
 	f.VMs.Remove(e.Name)
-	f.Entries = slices.DeleteFunc(slices.Clone(f.Entries), func(o *FleetEntry) bool { return o == e })
+	f.setEntries(slices.DeleteFunc(slices.Clone(f.Entries), func(o *FleetEntry) bool { return o == e }))
+}
+
+func (f *Fleet) setEntries(entries []*FleetEntry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Entries = entries
+}
+
+// Running lists the entries; it may be called while others start and stop some.
+func (f *Fleet) Running() []*FleetEntry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Entries
 }
 
 // Stop ends the entry gracefully and waits for it.
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -29,6 +30,8 @@
 type backend struct {
 	name   loader.TargetName
 	target loader.Target
+	// limitName is the name by which the fleet shares the target's limits.
+	limitName string
 	// outstanding counts this entry's calls; the service's lock guards it.
 	outstanding int
 	// failures counts the failures in a row; the service's lock guards it.
@@ -55,10 +58,12 @@
 	// fresh opens a connection for every call, so that a call is never sent
 	// on a connection that its server is just closing.
 	fresh *http.Transport
-	stats backendStats
+	// stats returns the target's metrics.
+	stats func() *backendStats
 }
 
-// backendStats are the metrics of one target.
+// backendStats are the metrics of one target. They are made at its first send,
+// since an entry may know many more targets than it calls.
 type backendStats struct {
 	outcomes [Cancelled + 1]metrics.Counter
 	latency  metrics.Histogram
@@ -68,8 +73,10 @@
 // newBackend returns a backend whose connections, used and idle, stay below
 // its share of the target's limit.
 func newBackend(service loader.ServiceName, name loader.TargetName, t loader.Target, d loader.TargetDefaults, share int, rec *recorder.Recorder) *backend {
-	b := &backend{name: name, target: t, index: -1, lent: map[warmer.PermitID]registrar.Incarnation{}}
-	b.stats = newBackendStats(service, name, t, rec)
+	b := &backend{name: name, limitName: warmer.LimitName(service, name), target: t, index: -1, lent: map[warmer.PermitID]registrar.Incarnation{}}
+	b.stats = sync.OnceValue(func() *backendStats {
+		return newBackendStats(service, name, t, rec)
+	})
 	idle := share - callLimit(t, share)
 	b.pooled = newTransport(b, d, share)
 	b.pooled.MaxIdleConnsPerHost = max(idle, 1)
@@ -95,7 +102,7 @@
 	protocols.SetHTTP1(true)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			b.stats.connects.Inc(1)
+			b.stats().connects.Inc(1)
 			return dialer.DialContext(ctx, "tcp", address)
 		},
 		MaxConnsPerHost:        share,
@@ -107,13 +114,13 @@
 	}
 }
 
-func newBackendStats(service loader.ServiceName, name loader.TargetName, t loader.Target, rec *recorder.Recorder) backendStats {
+func newBackendStats(service loader.ServiceName, name loader.TargetName, t loader.Target, rec *recorder.Recorder) *backendStats {
 	labels := []recorder.Label{
 		{Name: "service", Value: string(service)},
 		{Name: "target", Value: string(name)},
 		{Name: "data_centre", Value: string(t.DataCentre)},
 	}
-	var s backendStats
+	s := &backendStats{}
 	for o := range s.outcomes {
 		with := append(labels[:len(labels):len(labels)], recorder.Label{Name: "outcome", Value: Outcome(o).String()})
 		s.outcomes[o] = rec.Counter("target_sends_total", with...)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -74,6 +75,9 @@
 			return c.refuse(w, refusal{status: http.StatusBadRequest, outcome: NotRun, title: "the body broke off", detail: err.Error()})
 		}
 	}
+	if c.isolated() {
+		return c.refuseIsolated(w)
+	}
 	if c.route.Class == loader.AtMostOnce {
 		return c.runOnce(ctx, w)
 	}
@@ -90,6 +94,11 @@
 			c.settle(deduplicator.Result{NotRun: true})
 			return c.refuse(w, c.waitRefusal(ctx, err))
 		}
+		if slices.Contains(c.struck(), b.limitName) {
+			c.route.service.release(b, true)
+			c.settle(deduplicator.Result{NotRun: true})
+			return c.refuseIsolated(w)
+		}
 		tried = append(tried, b)
 		res := c.send(ctx, b)
 		if c.repeatable(ctx, res, len(tried)) {
@@ -110,7 +119,7 @@
 // wait takes room at a backend.
 func (c *call) wait(ctx context.Context, tried []*backend) (*backend, error) {
 	start := time.Now()
-	b, err := c.route.service.acquire(ctx, c.route.MaxWait-c.timing.wait, tried)
+	b, err := c.route.service.acquire(ctx, c.route.MaxWait-c.timing.wait, tried, c.struck())
 	c.timing.wait += time.Since(start)
 	return b, err
 }
@@ -124,7 +133,7 @@
 	if c.body != nil && c.small == nil && c.body.touched.Load() {
 		return false
 	}
-	if !mayRepeat(c.route.Class, res) {
+	if !mayRepeat(c.route.Class, res) || c.isolated() {
 		return false
 	}
 	return c.route.service.spendRepeat()
@@ -155,8 +164,9 @@
 
 // finish ends a send.
 func (c *call) finish(b *backend, o Outcome) {
-	b.stats.outcomes[o].Inc(1)
-	b.stats.latency.Update(c.timing.backend.Microseconds())
+	stats := b.stats()
+	stats.outcomes[o].Inc(1)
+	stats.latency.Update(c.timing.backend.Microseconds())
 	cancelled := c.request.Context().Err() != nil
 	c.route.service.release(b, o == Answered || cancelled)
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
+	"savoryroad.dev/isolator"
 	"savoryroad.dev/loader"
 	"savoryroad.dev/publisher"
 	"savoryroad.dev/recorder"
@@ -49,6 +50,10 @@
 	table atomic.Pointer[table]
 	// tell passes news of warmth on; nil means to nobody.
 	tell func(warmer.News)
+	// isolator stops calls that crash the servers that run them.
+	isolator *isolator.Isolator
+	// strike tells the other entries of a strike; nil means nobody.
+	strike func(isolator.Strike)
 	// borrow asks other entries for permits; nil means nobody.
 	borrow func(warmer.Loan)
 	// installing guards the two below. Traffic does not take it.
@@ -73,6 +78,7 @@
 type stats struct {
 	refused   metrics.Counter
 	truncated metrics.Counter
+	isolated  metrics.Counter
 }
 
 // Option changes a Forwarder under construction.
@@ -92,10 +98,12 @@
 		stall:    defaultStall,
 		seed:     rand.Uint64(),
 		name:     uuid.NewString(),
+		isolator: isolator.New(),
 		services: map[loader.ServiceName]*service{},
 		stats: stats{
 			refused:   rec.Counter("calls_unrouted_total"),
 			truncated: rec.Counter("answers_truncated_total"),
+			isolated:  rec.Counter("calls_isolated_total"),
 		},
 	}
 	for _, opt := range opts {
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -10,8 +10,6 @@
 	"slices"
 	"strconv"
 	"time"
-
-	"savoryroad.dev/loader"
 )
 
 // LoadHeader is the header by which a backend server may report, on each
@@ -67,8 +65,8 @@
 
 // emptyBody is a body without bytes that is not http.NoBody. The transport
 // sends a request that has one on a single connection only, whatever its
-// method and headers; in particular it does not repeat a request because it
-// carries an Idempotency-Key.
+// method and headers. It would otherwise repeat lookups beyond their budget,
+// and purchases because they carry an Idempotency-Key.
 type emptyBody struct{}
 
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
@@ -96,9 +94,13 @@
 		}
 		if ctx.Err() == nil {
 			c.route.service.failed(b)
+			if connected {
+				c.broke(b)
+			}
 		}
 		return gotNothing{outcome: outcome, cause: err}
 	}
+	c.heldUp()
 	outcome := c.judge(resp.StatusCode)
 	c.route.service.answered(b, parseReport(resp.Header), outcome == Answered)
 	return gotAnswer{resp: resp, outcome: outcome}
@@ -136,7 +138,7 @@
 		req.Body = io.NopCloser(bytes.NewReader(c.small))
 	case c.body != nil:
 		req.Body = c.body
-	case c.route.Class == loader.AtMostOnce:
+	default:
 		req.Body = emptyBody{}
 	}
 	return req.WithContext(ctx)
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -162,54 +161,6 @@
 	s.configure(loader.Config{Entries: 1}, loader.Service{})
 }
 
-// acquire returns a backend with room, not among those to avoid if any other
-// will do, and counts the call as outstanding there. It waits for room until
-// the context ends or maxWait is over.
-func (s *service) acquire(ctx context.Context, maxWait time.Duration, avoid []*backend) (*backend, error) {
-	s.mu.Lock()
-	if b, ok := s.pick(avoid); ok {
-		s.mu.Unlock()
-		return b, nil
-	}
-	if !s.inService() {
-		s.mu.Unlock()
-		return nil, errNoTarget
-	}
-	if maxWait <= 0 || len(s.waiters) >= s.settings.Queue {
-		s.mu.Unlock()
-		return nil, errQueueFull
-	}
-	w := &waiter{granted: make(chan *backend, 1)}
-	s.waiters = append(s.waiters, w)
-	s.stats.waiting.Update(int64(len(s.waiters)))
-	s.wantLoan()
-	s.mu.Unlock()
-
-	timer := time.NewTimer(maxWait)
-	defer timer.Stop()
-	select {
-	case b := <-w.granted:
-		return b, nil
-	case <-timer.C:
-		return s.giveUp(w, errWaitOver)
-	case <-ctx.Done():
-		return s.giveUp(w, ctx.Err())
-	}
-}
-
-// giveUp takes a waiter out of the queue. One that was granted a backend at
-// the same moment keeps it.
-func (s *service) giveUp(w *waiter, cause error) (*backend, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if i := slices.Index(s.waiters, w); i >= 0 {
-		s.waiters = slices.Delete(s.waiters, i, i+1)
-		s.stats.waiting.Update(int64(len(s.waiters)))
-		return nil, cause
-	}
-	return <-w.granted, nil
-}
-
 // release counts a call as no longer outstanding, and lets the oldest waiter
 // have the room. A target that fails time and again gets its room back later
 // and later, so that it does not attract work by failing fast.
@@ -256,26 +207,6 @@
 	s.grantWaiters()
 }
 
-// earnRepeat adds the share of a repeat that each first send earns.
-func (s *service) earnRepeat() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	earned := float64(s.settings.Retry.BudgetPercent) / 100
-	s.repeatTokens = min(s.repeatTokens+earned, maxRepeatTokens)
-}
-
-// spendRepeat takes one repeat from the budget, if it holds one.
-func (s *service) spendRepeat() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.settings.Retry.BudgetPercent == 0 || s.repeatTokens < 1 {
-		return false
-	}
-	s.repeatTokens--
-	s.stats.repeats.Inc(1)
-	return true
-}
-
 // pick chooses a backend; the caller holds the lock.
 func (s *service) pick(avoid []*backend) (*backend, bool) {
 	var indexes []picker.Index
@@ -301,17 +232,3 @@
 func (s *service) inService() bool {
 	return slices.ContainsFunc(s.backends, func(b *backend) bool { return b.base > 0 })
 }
-
-// grantWaiters hands room to the oldest waiters; the caller holds the lock.
-func (s *service) grantWaiters() {
-	for len(s.waiters) > 0 {
-		b, ok := s.pick(nil)
-		if !ok {
-			return
-		}
-		w := s.waiters[0]
-		s.waiters = slices.Delete(s.waiters, 0, 1)
-		s.stats.waiting.Update(int64(len(s.waiters)))
-		w.granted <- b
-	}
-}
--- a/forwarder/warmth.go
+++ b/forwarder/warmth.go
@@ -102,7 +102,7 @@
 		b.ramp.Settle(true, 0, true)
 		return
 	}
-	share := registrar.ShareOf(warmer.LimitName(s.name, b.name))
+	share := registrar.ShareOf(b.limitName)
 	if !slices.Contains(s.fleet.owned, share) {
 		b.ramp.Settle(false, 0, false)
 		return
@@ -123,7 +123,7 @@
 	case s.fleet == nil:
 		return min(b.base, allowed)
 	default:
-		part := registrar.Part(warmer.LimitName(s.name, b.name), allowed, s.fleet.owned)
+		part := registrar.Part(b.limitName, allowed, s.fleet.owned)
 		return min(b.base, part+len(b.borrowed))
 	}
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -26,6 +26,7 @@
 
 	"savoryroad.dev/appender"
 	"savoryroad.dev/deduplicator"
+	"savoryroad.dev/isolator"
 	"savoryroad.dev/publisher"
 	"savoryroad.dev/registrar"
 	"savoryroad.dev/warmer"
@@ -63,6 +64,8 @@
 	Handover *Handover
 	// News brings news of targets' warmth.
 	News []warmer.News
+	// Strike tells of a call that broke off at a target.
+	Strike *isolator.Strike
 	// Loan asks for a permit, or gives one back.
 	Loan *warmer.Loan
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -27,7 +27,7 @@
 	// namePrefix starts the name of every metric.
 	namePrefix = "savoryroad_"
 	// sampleSize is the number of values that a histogram keeps.
-	sampleSize = 1028
+	sampleSize = 512
 	// sampleDecay weighs a histogram's sample towards the last minutes.
 	sampleDecay = 0.015
 )
--- a/savorybench/main.go
+++ b/savorybench/main.go
@@ -16,6 +16,7 @@
 	Demo    demoCmd    `cmd:"" help:"Run a whole system in this process, serve callers for a few seconds, print a summary and end. Example: savorybench demo --users sunkissed --entries 3"`
 	Added   addedCmd   `cmd:"" help:"Measure what an entry adds to a call. Example: savorybench added --rounds 5"`
 	Run     runCmd     `cmd:"" help:"Run one load experiment with 18 entries and 20 servers. Example: savorybench run slow --policy TwoChoices --seed 3"`
+	Fault   faultCmd   `cmd:"" help:"Run one fault experiment with five entries under load, and count violations. Example: savorybench fault rolling-replace --seed 3"`
 	Idle    idleCmd    `cmd:"" help:"Measure what an entry costs without calls, at several sizes of the fleet. Example: savorybench idle --sizes 3,9,18"`
 	Log     logCmd     `cmd:"" help:"Serve a stand-in for the log service. Example: savorybench log --listen 127.0.0.1:7000"`
 	VMs     vmsCmd     `cmd:"" name:"vms" help:"Serve a stand-in for the platform's list of VMs. Example: savorybench vms entry-01 entry-02"`
