End the loan storm: loans wait at the home, and their answers warm the target

Entries that wanted a permit asked again every 2 ms, which took the processor, which made more calls wait. First change, alone: loans wait at the home, first come first served, for 800 ms; two homes are asked for each waiting call; a permit goes back after 4 calls. Found: only the home's own answers raised a level, and a home that lends all its permits has none. It did so before as well, hidden by the storm. Second change: what is given back carries the answers that it brought. Ruled out: leaked permits (the dump shows none), lost news (one home each).

--- a/balancer/loan.go
+++ b/balancer/loan.go
@@ -58,7 +58,7 @@
 	case !ok || p.client == nil:
 		return false, true
 	case owner.Incarnation == p.self.Incarnation:
-		return p.b.forwarder.Lend(l), true
+		return p.b.forwarder.Lend(ctx, l), true
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -42,7 +42,7 @@
 	newsTimeout = 10 * time.Second
 	// loanPause is the wait before a loan that was refused is answered to
 	// those who want it, so that they do not ask at once again.
-	loanPause = 2 * time.Millisecond
+	loanPause = 20 * time.Millisecond
 	// forgetInterval is the time between two clean-ups of old keys.
 	forgetInterval = 10 * time.Second
 )
@@ -218,7 +218,7 @@
 		p.b.forwarder.HearStrike(*r.Strike)
 		return messenger.Answer{Done: true}
 	case r.Loan != nil:
-		return messenger.Answer{Done: p.b.forwarder.Lend(*r.Loan)}
+		return messenger.Answer{Done: p.b.forwarder.Lend(ctx, *r.Loan)}
 	case r.Handover != nil:
 		p.hearAll(r.Handover.Levels)
 		p.memory.Receive(r.Handover.Shares, r.Handover.Keys)
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -47,10 +47,14 @@
 	// lent holds the permits of the target's home that other entries use; each
 	// counts as outstanding here. The service's lock guards it.
 	lent map[warmer.PermitID]registrar.Incarnation
+	// pending holds the loans that wait for a permit, the oldest first.
+	pending []*pendingLoan
 	// borrowed holds the permits of the home that this entry uses, and uses
 	// counts the calls since the latest came. The service's lock guards both.
 	borrowed []warmer.PermitID
 	uses     int
+	// good and bad count the answers since a permit was last given back.
+	good, bad int
 	// start is the target's latest start id; the service's lock guards it.
 	start string
 	// pooled keeps connections between calls.
--- a/forwarder/dump.go
+++ b/forwarder/dump.go
@@ -36,6 +36,9 @@
 	Warmth int
 	// Home is set when this entry decides on the target's warmth.
 	Home bool
+	// Lent counts the permits that other entries use, Pending the loans that
+	// wait for one, and Borrowed the permits that this entry uses.
+	Lent, Pending, Borrowed int
 	// Reported is the load on the target's latest answer.
 	Reported int
 }
@@ -71,6 +74,9 @@
 			Outstanding: m.Outstanding,
 			Warmth:      b.ramp.Allowed(),
 			Home:        b.ramp.Home,
+			Lent:        len(b.lent),
+			Pending:     len(b.pending),
+			Borrowed:    len(b.borrowed),
 			Reported:    m.Reported,
 		})
 	}
--- a/forwarder/loan.go
+++ b/forwarder/loan.go
@@ -1,18 +1,37 @@
 package forwarder
 
 import (
+	"context"
 	"slices"
+	"time"
 
 	"savoryroad.dev/registrar"
 	"savoryroad.dev/warmer"
 )
 
-// maxUses is the number of calls after which a borrowed permit goes back even
-// while calls wait here, since calls wait elsewhere too.
-const maxUses = 16
+const (
+	// maxUses is the number of calls after which a borrowed permit goes back
+	// even while calls wait here, since calls wait elsewhere too.
+	maxUses = 4
+	// maxReturned bounds the names of returned permits that are remembered.
+	maxReturned = 4096
+	// maxPending bounds the loans that wait at one target's home.
+	maxPending = 256
+	// lendWait is how long a loan waits there.
+	lendWait = 800 * time.Millisecond
+	// asksPerCall is the number of homes that are asked for each call that
+	// waits.
+	asksPerCall = 2
+)
 
-// maxReturned bounds the names of returned permits that are remembered.
-const maxReturned = 4096
+// pendingLoan is a loan that waits for a permit.
+type pendingLoan struct {
+	loan warmer.Loan
+	// since is when it came.
+	since time.Time
+	// granted is closed when the permit is lent.
+	granted chan struct{}
+}
 
 // SetBorrower sets who borrows permits from other entries and gives them back;
 // it must not block. It is called before the first call.
@@ -26,12 +45,25 @@
 
 // Lend decides, as the target's home, on a loan that another entry asks for or
 // gives back. A loan asked for twice is granted once; one that was given back
-// is never granted again.
-func (f *Forwarder) Lend(l warmer.Loan) bool {
-	if s := f.service(l); s != nil {
-		return s.lend(l)
+// is never granted again. Lend waits for a permit for a while.
+func (f *Forwarder) Lend(ctx context.Context, l warmer.Loan) bool {
+	s := f.service(l)
+	if s == nil {
+		return false
+	}
+	granted, pending := s.lend(l)
+	if pending == nil {
+		return granted
+	}
+	timer := time.NewTimer(lendWait)
+	defer timer.Stop()
+	select {
+	case <-pending.granted:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return false
+	return !s.forgetPending(pending)
 }
 
 // Borrowed takes the answer to a loan that this entry asked for, and tells
@@ -74,24 +106,38 @@
 	return s.backends[i]
 }
 
-func (s *service) lend(l warmer.Loan) bool {
+// lend grants a loan, refuses it, or has it wait.
+func (s *service) lend(l warmer.Loan) (granted bool, pending *pendingLoan) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.backend(l)
 	if l.Return {
 		s.remember(l.ID)
 		if b != nil {
-			s.takeBack(b, l.ID)
+			s.takeBack(b, l)
 		}
-		return true
+		return true, nil
 	}
 	if b == nil || !b.ramp.Home || slices.Contains(s.returned, l.ID) {
-		return false
+		return false, nil
 	}
 	if _, ok := b.lent[l.ID]; ok {
-		return true
+		return true, nil
+	}
+	if len(b.pending) == 0 && s.lendNow(b, l) {
+		return true, nil
 	}
-	if !s.pool.Take(b.index) {
+	if len(b.pending) >= maxPending {
+		return false, nil
+	}
+	p := &pendingLoan{loan: l, since: time.Now(), granted: make(chan struct{})}
+	b.pending = append(b.pending, p)
+	return false, p
+}
+
+// lendNow lends a permit if there is one; the caller holds the lock.
+func (s *service) lendNow(b *backend, l warmer.Loan) bool {
+	if b.index < 0 || !s.pool.Take(b.index) {
 		return false
 	}
 	b.outstanding++
@@ -99,6 +145,35 @@
 	return true
 }
 
+// grantPending lends to the loans that wait at a target and came before the
+// time given, the oldest first; the caller holds the lock.
+func (s *service) grantPending(b *backend, before time.Time) {
+	for len(b.pending) > 0 {
+		p := b.pending[0]
+		if !p.since.Before(before) || !s.lendNow(b, p.loan) {
+			return
+		}
+		b.pending = slices.Delete(b.pending, 0, 1)
+		close(p.granted)
+	}
+}
+
+// forgetPending takes a loan out of the queue, unless it was granted at the
+// same moment.
+func (s *service) forgetPending(p *pendingLoan) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.backend(p.loan)
+	if b == nil {
+		return true
+	}
+	i := slices.Index(b.pending, p)
+	if i >= 0 {
+		b.pending = slices.Delete(b.pending, i, i+1)
+	}
+	return i >= 0
+}
+
 // remember notes a returned permit, so that a late request for it is refused;
 // the caller holds the lock.
 func (s *service) remember(id warmer.PermitID) {
@@ -108,12 +183,20 @@
 	}
 }
 
-// takeBack ends a loan; the caller holds the lock.
-func (s *service) takeBack(b *backend, id warmer.PermitID) {
-	if _, ok := b.lent[id]; ok {
-		delete(b.lent, id)
-		s.free(b)
+// takeBack ends a loan, and counts the answers that it brought; the caller
+// holds the lock.
+func (s *service) takeBack(b *backend, l warmer.Loan) {
+	if _, ok := b.lent[l.ID]; !ok {
+		return
+	}
+	delete(b.lent, l.ID)
+	if l.Bad > 0 {
+		b.ramp.Answered(false)
+	}
+	for range min(l.Good, maxUses*maxPending) {
+		s.count(b, true)
 	}
+	s.free(b)
 }
 
 func (s *service) reclaim(gone registrar.Incarnation) {
@@ -122,7 +205,7 @@
 	for _, b := range s.backends {
 		for id, borrower := range b.lent {
 			if borrower == gone {
-				s.takeBack(b, id)
+				s.takeBack(b, warmer.Loan{ID: id})
 			}
 		}
 	}
@@ -137,7 +220,7 @@
 // wantLoan asks for a permit of a cold target, for a call that has to wait,
 // unless enough are asked for already; the caller holds the lock.
 func (s *service) wantLoan() {
-	if s.fleet == nil || s.asking >= len(s.waiters) || s.asking >= len(s.backends) {
+	if s.fleet == nil || s.asking >= asksPerCall*len(s.waiters) || s.asking >= len(s.backends) {
 		return
 	}
 	cold := make([]*backend, 0, len(s.backends))
@@ -188,7 +271,8 @@
 	b.borrowed = b.borrowed[1:]
 	b.uses = 0
 	s.relimitQuietly(b)
-	s.askLoan(warmer.Loan{Service: s.name, Target: b.name, ID: id, Return: true})
+	s.askLoan(warmer.Loan{Service: s.name, Target: b.name, ID: id, Return: true, Good: b.good, Bad: b.bad})
+	b.good, b.bad = 0, 0
 	if len(s.waiters) > 0 {
 		s.wantLoan()
 	}
--- a/forwarder/loan_test.go
+++ b/forwarder/loan_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -27,12 +28,22 @@
 	return f
 }
 
+// pendingLoans counts the loans that wait.
+func (f *Forwarder) pendingLoans() int {
+	s := f.table.Load().services["S"]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.backends[0].pending)
+}
+
 // A permit is lent once for each name, counts as used until it comes back, and
 // is not lent under a name that came back before.
 func TestPermitsAreLentOnce(t *testing.T) {
 	f := homeOfOne(t)
 	loan := func(id string, back bool) bool {
-		return f.Lend(warmer.Loan{Service: "S", Target: "t", ID: warmer.PermitID(id), Borrower: "other", Return: back})
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel() // Nothing waits.
+		return f.Lend(ctx, warmer.Loan{Service: "S", Target: "t", ID: warmer.PermitID(id), Borrower: "other", Return: back})
 	}
 	steps := []struct {
 		id         string
@@ -54,7 +65,18 @@
 	if got := f.Dump().Services[0].Targets[0].Outstanding; got != 1 {
 		t.Errorf("%d outstanding, want the lent permit", got)
 	}
-	f.Reclaim("other")
+	waiting := make(chan bool)
+	go func() {
+		waiting <- f.Lend(t.Context(), warmer.Loan{Service: "S", Target: "t", ID: "c", Borrower: "third"})
+	}()
+	for f.pendingLoans() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	loan("b", true)
+	if !<-waiting {
+		t.Error("the loan that waited was not granted when the permit came back")
+	}
+	f.Reclaim("third")
 	if got := f.Dump().Services[0].Targets[0].Outstanding; got != 0 {
 		t.Errorf("%d outstanding after the borrower was evicted", got)
 	}
--- a/forwarder/queue.go
+++ b/forwarder/queue.go
@@ -29,10 +29,12 @@
 		s.mu.Unlock()
 		return nil, errQueueFull
 	}
-	w := &waiter{granted: make(chan *backend, 1)}
+	w := &waiter{granted: make(chan *backend, 1), since: time.Now()}
 	s.waiters = append(s.waiters, w)
 	s.stats.waiting.Update(int64(len(s.waiters)))
-	s.wantLoan()
+	for range asksPerCall {
+		s.wantLoan()
+	}
 	s.mu.Unlock()
 
 	timer := time.NewTimer(maxWait)
@@ -60,8 +62,12 @@
 	return <-w.granted, nil
 }
 
-// grantWaiters hands room to the oldest waiters; the caller holds the lock.
+// grantWaiters hands room to whoever waited longest, here or at other entries;
+// the caller holds the lock.
 func (s *service) grantWaiters() {
+	for _, b := range s.backends {
+		s.grantPending(b, s.oldest())
+	}
 	for len(s.waiters) > 0 {
 		b, ok := s.pick(nil)
 		if !ok {
@@ -72,4 +78,16 @@
 		s.stats.waiting.Update(int64(len(s.waiters)))
 		w.granted <- b
 	}
+	for _, b := range s.backends {
+		s.grantPending(b, s.oldest())
+	}
+}
+
+// oldest is when the call that waits longest here began to; the caller holds
+// the lock.
+func (s *service) oldest() time.Time {
+	if len(s.waiters) == 0 {
+		return time.Now().Add(time.Hour)
+	}
+	return s.waiters[0].since
 }
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -76,6 +76,8 @@
 type waiter struct {
 	// granted receives the backend, once; its capacity is 1.
 	granted chan *backend
+	// since is when it began to wait.
+	since time.Time
 }
 
 func newService(name loader.ServiceName, f *Forwarder) *service {
--- a/forwarder/warmth.go
+++ b/forwarder/warmth.go
@@ -155,7 +155,20 @@
 		return
 	}
 	b.start = r.start
-	if b.ramp.Answered(good && !r.cold) {
+	good = good && !r.cold
+	switch {
+	case len(b.borrowed) == 0:
+		s.count(b, good)
+	case good:
+		b.good++
+	default:
+		b.bad++
+	}
+}
+
+// count counts an answer at the target's home; the caller holds the lock.
+func (s *service) count(b *backend, good bool) {
+	if b.ramp.Answered(good) {
 		s.tell(s.warmth(b))
 		s.relimit(b)
 	}
--- a/warmer/permit.go
+++ b/warmer/permit.go
@@ -20,4 +20,7 @@
 	Borrower registrar.Incarnation
 	// Return is set when the permit is given back.
 	Return bool
+	// Good and Bad count the answers that came by the permit, for a return.
+	// The home counts them as its own, since it may have none.
+	Good, Bad int
 }
