--- a/emulator/backend.go
+++ b/emulator/backend.go
@@ -126,8 +126,26 @@
 	return b.runs[key]
 }
 
-// ServeHTTP runs one call.
+// RunCounts returns the number of keys that ran, and of those that ran more
+// than once.
+func (b *Backend) RunCounts() (ran, twice int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range b.runs {
+		if n > 1 {
+			twice++
+		}
+	}
+	return len(b.runs), twice
+}
+
+// ServeHTTP runs one call. GET /runs answers the two RunCounts.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/runs" {
+		ran, twice := b.RunCounts()
+		_, _ = fmt.Fprintln(w, ran, twice)
+		return
+	}
 	load := b.inFlight.Add(1)
 	defer b.inFlight.Add(-1)
 	b.raisePeak(load)
--- a/emulator/cold_test.go
+++ b/emulator/cold_test.go
@@ -68,7 +68,7 @@
 	defer callers.Close()
 	for range 12 {
 		callers.Do(t.Context(), emulator.Call{Method: "GET", Path: "/balances/crash"})
-		time.Sleep(20 * time.Millisecond) // Longer than the word takes.
+		time.Sleep(100 * time.Millisecond) // Longer than the word takes.
 	}
 	crashes := int64(0)
 	for _, b := range f.Backends {
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -82,6 +82,8 @@
 	// ColdAnswers is the number of answers in which a backend server is cold
 	// at first; 0 means that it is warm from the start.
 	ColdAnswers int
+	// UnreadyDelay is how long a stopping entry still takes calls.
+	UnreadyDelay time.Duration
 	// Retention is how long the log keeps a record.
 	Retention time.Duration
 	// Seed draws everything random.
@@ -280,6 +282,7 @@
 		Operator:      loopback,
 		Log:           loader.Address(f.LogURL),
 		VMs:           loader.Address(f.VMsURL),
+		UnreadyDelay:  f.opts.UnreadyDelay,
 		DrainTimeout:  time.Minute,
 		HeaderTimeout: 10 * time.Second,
 		StallTimeout:  time.Minute,
--- a/emulator/log.go
+++ b/emulator/log.go
@@ -38,6 +38,8 @@
 // Log is a stand-in for the platform's log service. It implements
 // appender.Log directly, and the same over HTTP as an http.Handler.
 type Log struct {
+	mux *http.ServeMux
+
 	mu sync.Mutex
 	// streams holds the records; those below the head are gone.
 	streams map[appender.Stream]*stream
@@ -64,11 +66,13 @@
 // NewLog returns an empty log that keeps each record for the retention time.
 // The seed draws the faults.
 func NewLog(retention time.Duration, seed uint64) *Log {
-	return &Log{
+	l := &Log{
 		streams:   map[appender.Stream]*stream{},
 		retention: retention,
 		rng:       rand.New(rand.NewPCG(seed, seed)),
 	}
+	l.mux = l.routes()
+	return l
 }
 
 // SetFaults replaces the faults in force.
@@ -185,12 +189,15 @@
 }
 
 // ServeHTTP serves the log, and its faults at PUT /faults.
-func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.mux.ServeHTTP(w, r) }
+
+// routes returns what the log serves.
+func (l *Log) routes() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /streams/{name}", l.serveAppend)
 	mux.HandleFunc("GET /streams/{name}", l.serveRead)
 	mux.HandleFunc("PUT /faults", l.serveFaults)
-	mux.ServeHTTP(w, r)
+	return mux
 }
 
 func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -28,6 +28,7 @@
 const routes = `
     Routes:
       Look: {PathPrefix: /look, Class: Lookup, MaxWait: 50ms}
+      Patient: {PathPrefix: /patient, Class: Lookup, MaxWait: 10s}
       Buy: {PathPrefix: /buy, Class: AtMostOnce, MaxWait: 50ms}
       Put: {PathPrefix: /put, Class: Upload, MaxWait: 50ms}
       Short: {PathPrefix: /short, Class: Lookup, Deadline: 50ms, MaxWait: 10ms}
@@ -474,7 +475,7 @@
 	f := newFixture(t, "Defaults: {Slots: 1}", slow)
 	done := make(chan string, 2)
 	call := func() {
-		resp, body, err := do(t, "GET", f.url+"/look", "")
+		resp, body, err := do(t, "GET", f.url+"/patient", "")
 		if err != nil {
 			body = err.Error()
 		} else if resp.StatusCode != http.StatusOK {
--- a/savorybench/fault.go
+++ b/savorybench/fault.go
@@ -128,8 +128,11 @@
 		Entries:     faultEntries,
 		Mode:        emulator.BackendMode{Service: 2 * time.Millisecond},
 		ColdAnswers: 20,
-		Retention:   demoRetention,
-		Seed:        c.Seed,
+		// Callers learn of an entry's end a moment before it begins, so calls
+		// that are on their way by then arrive within this time.
+		UnreadyDelay: 500 * time.Millisecond,
+		Retention:    demoRetention,
+		Seed:         c.Seed,
 	})
 	if err != nil {
 		return faultResult{}, err
--- a/savorybench/main.go
+++ b/savorybench/main.go
@@ -21,6 +21,7 @@
 	Log     logCmd     `cmd:"" help:"Serve a stand-in for the log service. Example: savorybench log --listen 127.0.0.1:7000"`
 	VMs     vmsCmd     `cmd:"" name:"vms" help:"Serve a stand-in for the platform's list of VMs. Example: savorybench vms entry-01 entry-02"`
 	Backend backendCmd `cmd:"" help:"Serve a stand-in for a backend server. Example: savorybench backend --listen 127.0.0.1:7100"`
+	Call    callCmd    `cmd:"" help:"Make one call that must not run twice. Example: savorybench call --entry 127.0.0.1:8081"`
 	Keys    keysCmd    `cmd:"" help:"Write keys for the links between entries, for trying things out. Example: savorybench keys --dir keys entry-01 entry-02"`
 	Bulk    bulkCmd    `cmd:"" help:"Pass a large upload and a large answer through an entry and measure the memory. Example: savorybench bulk --mebibytes 1024"`
 }
--- a/warmer/warmer_test.go
+++ b/warmer/warmer_test.go
@@ -61,7 +61,11 @@
 	case 2:
 		if e.outstanding > 0 {
 			e.outstanding--
-			if e.ramp.Answered(rapid.Bool().Draw(t, "good")) {
+			rose := e.ramp.Answered(rapid.Bool().Draw(t, "good"))
+			if rose && !e.ramp.Home {
+				t.Fatal("an entry that is not the home raised the level")
+			}
+			if rose {
 				f.announce(e.ramp.Level)
 			}
 		}
