Even the shares out, and take a peer for silent after 30 s

A look at each second's table showed shares of 12, 3, 3, … for 16 s: an entry above its part gave nothing to peers that had theirs rounded down. And each entry took one peer in four for silent at any time, since with 18 entries it hears of each about every 4 s, and greeted it as new. Ruled out: shares going back and forth (29 appends in all, none after the start). Change: an entry above its part rounded up gives to any below it; a peer is silent after 30 s; vacant shares are claimed before shares are given away.

--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// peerSilence is how long a peer that was not heard of counts as live.
-	peerSilence = 5 * time.Second
+	// peerSilence is how long a peer that was not heard of counts as live. An
+	// entry hears of each of 60 peers about twice in that time.
+	peerSilence = 30 * time.Second
 	// evictAfter is the number of lists in a row that must lack an owner's VM
 	// for it to count as gone for good. Entries own shares only after they
 	// were listed, so that a VM which is too new for the list is no owner.
@@ -105,32 +106,39 @@
 	return m.manageShares(now)
 }
 
-// manageShares appends at most one record about shares at a time: it gives
-// shares away when this entry stops or has too many, takes shares from
-// entries that are gone, and claims those that nobody owns.
+// manageShares appends at most one record about shares at a time: it takes
+// shares from entries that are gone, claims those that nobody owns, and gives
+// shares away when this entry stops or has too many.
 func (m Model) manageShares(now time.Time) (Model, []Cmd) {
 	if m.Fleet.Busy || !m.Log.Up || !m.Reader.Synced || m.Phase == Starting {
 		return m, nil
 	}
+	if m.Phase == Serving {
+		if cmds := m.takeShares(now); len(cmds) > 0 {
+			m.Fleet.Busy = true
+			return m, cmds
+		}
+	}
 	if t, ok := m.surplus(now); ok {
 		m.Fleet.Busy = true
 		return m, []Cmd{HandoverCmd{Transfer: t}}
 	}
-	if m.Phase != Serving {
-		return m, nil
-	}
+	return m, nil
+}
+
+// takeShares takes the shares of an owner that is gone, or claims vacant ones.
+func (m Model) takeShares(now time.Time) []Cmd {
 	if gone, ok := m.goneOwner(); ok {
-		m.Fleet.Busy = true
-		return m, []Cmd{
+		return []Cmd{
 			FleetCmd{Record: registrar.Record{Eviction: &registrar.Eviction{Gone: gone.Incarnation}}},
 			LogCmd{Level: zerolog.WarnLevel, Text: "taking the shares of an entry that is gone", Fields: []any{"Gone", string(gone.Entry)}},
 		}
 	}
-	if wanted := m.wantedShares(now); len(wanted) > 0 && m.Fleet.mayOwn(m.Fleet.Self.Entry) {
-		m.Fleet.Busy = true
-		return m, []Cmd{FleetCmd{Record: registrar.Record{Claim: &registrar.Claim{Owner: m.Fleet.Self, Shares: wanted}}}}
+	wanted := m.wantedShares(now)
+	if len(wanted) == 0 || !m.Fleet.mayOwn(m.Fleet.Self.Entry) {
+		return nil
 	}
-	return m, nil
+	return []Cmd{FleetCmd{Record: registrar.Record{Claim: &registrar.Claim{Owner: m.Fleet.Self, Shares: wanted}}}}
 }
 
 // goneOwner returns an owner that is certainly no longer running: an earlier
@@ -169,8 +177,7 @@
 	to := slices.MinFunc(peers, func(a, b registrar.Owner) int {
 		return len(table.OwnedBy(a.Incarnation)) - len(table.OwnedBy(b.Incarnation))
 	})
-	part := registrar.Shares / (len(peers) + 1)
-	n := min(len(mine)-part, part-len(table.OwnedBy(to.Incarnation)))
+	n := spare(len(mine), len(table.OwnedBy(to.Incarnation)), len(peers)+1)
 	if m.Phase == Stopping {
 		n = (len(mine) + len(peers) - 1) / len(peers)
 	}
@@ -180,6 +187,18 @@
 	return registrar.Transfer{From: m.Fleet.Self.Incarnation, To: to, Shares: mine[len(mine)-n:]}, true
 }
 
+// spare is how many of its shares an entry gives to one that has fewer. Both
+// come nearer to their part of the shares and neither goes past it, which is
+// the part rounded up for the giver when nobody is short.
+func spare(mine, theirs, entries int) int {
+	low := registrar.Shares / entries
+	if theirs < low {
+		return min(mine-low, low-theirs)
+	}
+	high := (registrar.Shares + entries - 1) / entries
+	return min(mine-high, high-theirs)
+}
+
 // HearsPeers tells whether any peer was heard of lately, also one that the
 // platform does not list yet.
 func (m Model) HearsPeers(now time.Time) bool {
