Serve callers on the platform: settings, store, targets and headers through platform/

Cause: the product spoke only its own log's form and could not run on the users' platform. Change: platform/ translates settings, the store's records and headers into the product's types; router matches routes, tracker keeps what an entry believes, placer chooses a target from health checks made at the moment of the choice, rationer divides cold rates and repeats by shares that the store hands out, carrier sends over kept connections, gateway puts them together.

--- /dev/null
+++ b/gateway/board.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"savoryroad.dev/carrier"
+	"savoryroad.dev/loader"
+	"savoryroad.dev/placer"
+	"savoryroad.dev/platform"
+	"savoryroad.dev/rationer"
+	"savoryroad.dev/router"
+	"savoryroad.dev/tracker"
+)
+
+// board is what requests see of the fleet. It never changes; the control
+// goroutine replaces it.
+type board struct {
+	router   *router.Router
+	services map[loader.ServiceName]*service
+}
+
+// service holds what requests need of one service.
+type service struct {
+	name   loader.ServiceName
+	config router.Service
+	placer *placer.Service
+	budget *rationer.Budget
+	*connections
+}
+
+// connections holds the connections to a service's targets.
+type connections struct {
+	mu    sync.Mutex
+	pools map[*placer.Target]*carrier.Pool
+	// limit is how many connections each pool may have.
+	limit int
+}
+
+// pool returns the connections to a target.
+func (s *connections) pool(t *placer.Target) *carrier.Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.pools[t]
+	if !ok {
+		p = carrier.NewPool(t.Address, s.limit)
+		s.pools[t] = p
+	}
+	return p
+}
+
+// drop closes the connections to targets that get no more requests. Those that
+// carry one are closed when it ends.
+func (s *connections) drop(gone []*placer.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range gone {
+		if p, ok := s.pools[t]; ok {
+			p.Close()
+			delete(s.pools, t)
+		}
+	}
+}
+
+// expire closes the connections that were idle for too long.
+func (s *connections) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.pools {
+		p.Expire(now)
+	}
+}
+
+// limitConnections sets how many connections each pool may have.
+func (s *connections) limitConnections(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = n
+	for _, p := range s.pools {
+		p.SetLimit(n)
+	}
+}
+
+const (
+	// tickInterval is how often the control goroutine looks at the time.
+	tickInterval = 250 * time.Millisecond
+	// controlQueue is the number of messages that wait for it.
+	controlQueue = 64
+	// spendableConnections is the part of a target's connections that all
+	// entries together use.
+	spendableConnections = 0.8
+	// minConnections is what an entry uses of a target's connections at least.
+	minConnections = 2
+	// presumedEntries is the size of the fleet while the share is not known.
+	presumedEntries = 32
+)
+
+// control owns the model: it feeds it messages and carries out its commands.
+func (g *Gateway) control(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var msg tracker.Msg
+		select {
+		case <-ctx.Done():
+			return
+		case msg = <-g.messages:
+		case <-ticker.C:
+			msg = tracker.TickMsg{}
+			for _, s := range g.board.Load().services {
+				s.expire(time.Now())
+			}
+		}
+		for _, cmd := range g.model.Update(msg, time.Now()) {
+			g.carryOut(cmd)
+		}
+		g.ready.Store(g.model.Config.Version > 0 && g.model.Listed)
+	}
+}
+
+// tell hands a message to the control goroutine.
+func (g *Gateway) tell(msg tracker.Msg) {
+	select {
+	case g.messages <- msg:
+	case <-g.drained:
+	}
+}
+
+// carryOut executes a command of the model.
+func (g *Gateway) carryOut(cmd tracker.Cmd) {
+	switch cmd := cmd.(type) {
+	case tracker.InstallCmd:
+		g.install(cmd.Config)
+	case tracker.PlaceCmd:
+		services := g.board.Load().services
+		for name, targets := range cmd.Targets {
+			if s, ok := services[name]; ok {
+				s.drop(s.placer.SetTargets(targets))
+			}
+		}
+	case tracker.ShareCmd:
+		g.share = cmd.Share
+		for _, s := range g.board.Load().services {
+			g.setShare(s)
+		}
+	case tracker.LogCmd:
+		g.log.WithLevel(cmd.Level).Fields(cmd.Fields).Msg(cmd.Text)
+	}
+}
+
+// install brings a configuration into force. Services keep what is known of
+// them.
+func (g *Gateway) install(cfg router.Config) {
+	old := g.board.Load()
+	next := &board{
+		router:   router.New(cfg, rand.Float64()),
+		services: make(map[loader.ServiceName]*service, len(cfg.Services)),
+	}
+	for name, c := range cfg.Services {
+		s := &service{name: name, config: c}
+		if known, ok := old.services[name]; ok {
+			s.placer, s.budget, s.connections = known.placer, known.budget, known.connections
+		} else {
+			b := g.platform.Bounds
+			s.placer = placer.New(name, g.platform.DataCentre, rand.Uint64())
+			s.budget = rationer.NewBudget(b.RetryRatio, b.RetrySlack, b.RetryWindow)
+			s.connections = &connections{pools: map[*placer.Target]*carrier.Pool{}}
+		}
+		s.placer.SetCold(coldLimit(c, g.platform.Bounds))
+		g.setShare(s)
+		next.services[name] = s
+	}
+	g.board.Store(next)
+}
+
+// coldLimit is what a cold target of a service bears.
+func coldLimit(c router.Service, b platform.Bounds) rationer.ColdLimit {
+	return rationer.ColdLimit{Rate: c.WarmupRate, Peak: c.WarmupRate*b.WarmupExcess + b.WarmupSlack}
+}
+
+// setShare passes the entry's share of the fleet on to a service.
+func (g *Gateway) setShare(s *service) {
+	part := g.share.Part()
+	s.placer.SetShare(g.share)
+	s.budget.SetShare(part)
+	if part == 0 {
+		part = 1.0 / presumedEntries
+	}
+	s.limitConnections(max(minConnections, int(spendableConnections*part*float64(s.config.Connections))))
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,209 @@
+// Package gateway is an entry on the platform: it takes callers' requests and
+// sends them to backend servers.
+//
+//	g, err := gateway.New(platformSettings, settings, gateway.WithLogger(logger))
+//	err = g.Run(ctx)
+//
+// A request runs through serve.go (routing and answers), call.go (attempts and
+// hedges) and look.go (asking targets for their load). What the entry believes
+// of the fleet comes in through follow.go and is kept by board.go.
+package gateway
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kratos/kratos/v2"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
+	"github.com/go-kratos/kratos/v2/transport"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rs/zerolog"
+
+	"savoryroad.dev/platform"
+	"savoryroad.dev/rationer"
+	"savoryroad.dev/recorder"
+	"savoryroad.dev/tracker"
+)
+
+const (
+	// noticeTime is how long the platform takes to see that an entry is no
+	// longer ready: two questions, one second apart, and some delay.
+	noticeTime = 2600 * time.Millisecond
+	// graceMargin is how long before the end of the grace time an entry ends
+	// by itself.
+	graceMargin = 500 * time.Millisecond
+	// defaultHeaderBytes, defaultHeaderTimeout and defaultIdleTimeout bound
+	// callers. The configuration's own limits are checked for each request.
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+)
+
+// Gateway is one entry.
+type Gateway struct {
+	platform platform.Settings
+	store    *platform.Store
+	log      zerolog.Logger
+	recorder *recorder.Recorder
+
+	board    atomic.Pointer[board]
+	messages chan tracker.Msg
+	// drained is closed once the last request has ended.
+	drained chan struct{}
+	// model and share belong to the control goroutine.
+	model *tracker.Model
+	share rationer.Share
+
+	// ready is set once requests can be served, stopping once the entry is
+	// to end.
+	ready, stopping atomic.Bool
+	inFlight        atomic.Int64
+}
+
+// Option changes a Gateway.
+type Option func(*Gateway)
+
+// WithLogger sets the logger; by default nothing is logged.
+func WithLogger(l zerolog.Logger) Option { return func(g *Gateway) { g.log = l } }
+
+// New returns an entry.
+func New(p platform.Settings, opts ...Option) *Gateway {
+	g := &Gateway{
+		platform: p,
+		store:    platform.NewStore(p.Store.Address),
+		log:      zerolog.Nop(),
+		recorder: recorder.New(),
+		messages: make(chan tracker.Msg, controlQueue),
+		drained:  make(chan struct{}),
+		model:    tracker.New(),
+	}
+	g.board.Store(&board{})
+	for _, opt := range opts {
+		opt(g)
+	}
+	return g
+}
+
+// Run serves until a signal or the end of the context.
+func (g *Gateway) Run(ctx context.Context, signals ...os.Signal) error {
+	quietFramework()
+	callers := g.server(g.platform.Listen.String(), g)
+	readiness := g.server(g.platform.Readiness.String(), http.HandlerFunc(g.serveReadiness))
+	app := kratos.New(
+		kratos.Context(ctx),
+		kratos.Signal(signals...),
+		kratos.Server(
+			&drainingServer{Server: callers, g: g},
+			readiness,
+			newTask(g.drained, g.control),
+			newTask(g.drained, g.followOrders),
+			newTask(g.drained, g.followTargets),
+			newTask(g.drained, g.keepShare),
+		),
+		kratos.BeforeStop(func(context.Context) error {
+			g.drain()
+			return nil
+		}),
+		kratos.StopTimeout(g.platform.Bounds.Grace),
+	)
+	g.log.Info().Str("Entry", string(g.platform.Name)).Str("DataCentre", string(g.platform.DataCentre)).
+		Str("Listen", g.platform.Listen.String()).Msg("started")
+	err := app.Run()
+	g.log.Info().Int64("InFlight", g.inFlight.Load()).Msg("stopped")
+	return errors.Wrap(err, "entry")
+}
+
+// drain tells the platform and the callers that the entry is leaving, and
+// takes requests until they have noticed.
+func (g *Gateway) drain() {
+	g.stopping.Store(true)
+	g.log.Info().Int64("InFlight", g.inFlight.Load()).Msg("stopping")
+	time.Sleep(noticeTime)
+}
+
+// serveReadiness answers the platform's question whether callers are welcome.
+func (g *Gateway) serveReadiness(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.ReadinessPath || !g.ready.Load() || g.stopping.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// server returns an HTTP server of the framework that hands every request to
+// one handler.
+func (g *Gateway) server(address string, h http.Handler) *khttp.Server {
+	srv := khttp.NewServer(
+		khttp.Address(address),
+		khttp.Timeout(0),
+		// Requests skip the framework's own routing, which would rewrite paths.
+		khttp.Filter(func(http.Handler) http.Handler { return h }),
+	)
+	srv.MaxHeaderBytes = defaultHeaderBytes
+	srv.ReadHeaderTimeout = defaultHeaderTimeout
+	srv.IdleTimeout = defaultIdleTimeout
+	srv.ErrorLog = stdlog.New(io.Discard, "", 0)
+	return srv
+}
+
+// drainingServer finishes the requests in flight before it stops.
+type drainingServer struct {
+	*khttp.Server
+	g *Gateway
+}
+
+// Stop waits for the requests in flight as long as the grace time allows.
+func (s *drainingServer) Stop(ctx context.Context) error {
+	defer close(s.g.drained)
+	ctx, cancel := context.WithTimeout(ctx, s.g.platform.Bounds.Grace-noticeTime-graceMargin)
+	defer cancel()
+	if err := s.Server.Stop(ctx); err != nil {
+		s.g.log.Warn().Err(err).Int64("InFlight", s.g.inFlight.Load()).Msg("grace time is over; closing connections")
+		return s.Server.Close()
+	}
+	return nil
+}
+
+// task is a goroutine of the run group.
+type task struct {
+	// after is closed when the task may end.
+	after  <-chan struct{}
+	run    func(context.Context)
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newTask(after <-chan struct{}, run func(context.Context)) *task {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &task{after: after, run: run, ctx: ctx, cancel: cancel}
+}
+
+// Start runs the task until Stop.
+func (t *task) Start(context.Context) error {
+	t.run(t.ctx)
+	return nil
+}
+
+// Stop waits until the task may end, and ends it.
+func (t *task) Stop(context.Context) error {
+	<-t.after
+	t.cancel()
+	return nil
+}
+
+var _ transport.Server = (*task)(nil)
+
+// quietFramework silences the framework's logger, which all entries of a
+// process share, once.
+var quietFramework = sync.OnceFunc(func() { kratoslog.SetLogger(quietLogger{}) })
+
+// quietLogger drops the framework's lines; the entry writes its own.
+type quietLogger struct{}
+
+// Log drops the line.
+func (quietLogger) Log(kratoslog.Level, ...any) error { return nil }
--- /dev/null
+++ b/placer/cost.go
@@ -0,0 +1,154 @@
+package placer
+
+import (
+	"math"
+	"time"
+
+	"savoryroad.dev/rationer"
+)
+
+const (
+	// Good is the cost below which looking for a better target is not worth
+	// the health checks: the answer is expected well within the objective.
+	Good = 0.12
+	// knee is the part of its slots beyond which a target slows down, and
+	// kneeSlowdown by how much it does.
+	knee         = 0.8
+	kneeSlowdown = 1.5
+	// coldSlowdown is how much slower a target works in its warm-up.
+	coldSlowdown = 2
+	// safeShare and lateShare are the parts of the objective at which an
+	// answer begins to be late at times, and at which it mostly is.
+	safeShare = 0.65
+	lateShare = 1.3
+	// farCostPerKiB is what a KiB between data centres costs, in answers.
+	farCostPerKiB = 0.004
+	// failingCost is what a target costs that fails every request.
+	failingCost = 1.5
+	// coldCost spares cold targets for when they are needed.
+	coldCost = 0.3
+	// illCost is the cost of a target that says that it is failing.
+	illCost = 3
+	// doubtfulFailing and doubtfulSlowness are from where on a target is
+	// asked last.
+	doubtfulFailing  = 0.25
+	doubtfulSlowness = 1.8
+	// judgementHalfLife is how fast bad experience fades.
+	judgementHalfLife = 3 * time.Second
+	// judgementWeight is the weight of the latest request in it.
+	judgementWeight = 0.4
+	// workWeight is the weight of the latest request in a route's work.
+	workWeight = 0.05
+	// maxSlowness bounds the weight of a single slow answer.
+	maxSlowness = 10
+	// firstAvoidance is how long a target that can't be reached is left
+	// alone; it doubles up to maxAvoidance.
+	firstAvoidance    = 250 * time.Millisecond
+	maxAvoidanceShift = 4
+	maxAvoidance      = 2 * time.Second
+)
+
+// admits tells whether a target has room for one more request. As many as it
+// has slots may wait there: they start within about one more request's time,
+// and the other half of its queue is left for what other entries send
+// meanwhile.
+func (s *Service) admits(t *Target, now time.Time) bool {
+	if now.Before(t.coldUntil) {
+		owned := s.share.Tickets(string(t.Name), s.cold, now)
+		t.bucket.Refill(s.cold, owned, now)
+		if !t.bucket.Full() {
+			return false
+		}
+	} else {
+		t.bucket = rationer.Bucket{}
+	}
+	return t.busy() < 2*t.slots
+}
+
+// busy is the number of requests at the target, as far as it is known.
+func (t *Target) busy() int {
+	if t.reportedAt.IsZero() {
+		return t.outstanding
+	}
+	return max(t.outstanding, t.load.Running+t.load.Waiting+t.since)
+}
+
+// expect predicts when the answer of a request begins.
+func (s *Service) expect(t *Target, d Demand, now time.Time) time.Duration {
+	work, ok := s.work[d.Route]
+	if !ok {
+		work = d.Work.Seconds()
+		s.work[d.Route] = work
+	}
+	if !t.reportedAt.IsZero() {
+		work *= t.load.Pace
+	}
+	slowness, _ := t.judged(now)
+	work *= max(1, slowness)
+	busy, slots := float64(t.busy()), float64(max(1, t.slots))
+	if busy+1 > knee*slots {
+		work *= kneeSlowdown
+	}
+	if now.Before(t.coldUntil) {
+		work *= coldSlowdown
+	}
+	wait := max(0, busy+1-slots) / slots * work
+	return time.Duration((wait + work) * float64(time.Second))
+}
+
+// cost weighs a target, in lost answers.
+func (s *Service) cost(t *Target, d Demand, expected time.Duration, now time.Time) float64 {
+	left := d.Objective
+	if left <= 0 {
+		left = d.Deadline
+	}
+	share := expected.Seconds() / max(left.Seconds(), 1e-3)
+	cost := 0.1 * share
+	if share > safeShare {
+		cost += min(1, (share-safeShare)/(lateShare-safeShare))
+	}
+	_, failing := t.judged(now)
+	cost += failingCost * failing
+	if t.far {
+		cost += farCostPerKiB * d.KiB
+	}
+	if now.Before(t.coldUntil) {
+		cost += coldCost
+	}
+	if t.ill {
+		cost += illCost
+	}
+	return cost
+}
+
+// judge learns from the end of a request.
+func (s *Service) judge(t *Target, r Result, now time.Time) {
+	if !r.Answered && !r.Failed {
+		return
+	}
+	slowness, failing := t.judged(now)
+	if r.Failed {
+		failing += judgementWeight * (1 - failing)
+	} else {
+		failing -= judgementWeight * failing
+	}
+	if r.Answered && r.Expected > 0 {
+		ratio := r.Took.Seconds() / r.Expected.Seconds()
+		// What was expected held the slowness known then.
+		seen := min(maxSlowness, ratio*max(1, slowness))
+		slowness += judgementWeight * (seen - slowness)
+		if work, ok := s.work[r.Route]; ok {
+			s.work[r.Route] = work * (1 + workWeight*(min(ratio, 2)-1))
+		}
+	}
+	t.slowness, t.failing, t.judgedAt = slowness, failing, now
+}
+
+// judged returns the slowness and the failing part as they have faded since.
+func (t *Target) judged(now time.Time) (slowness, failing float64) {
+	if t.judgedAt.IsZero() {
+		return 1, 0
+	}
+	keep := math.Exp2(-now.Sub(t.judgedAt).Seconds() / judgementHalfLife.Seconds())
+	return 1 + (t.slowness-1)*keep, t.failing * keep
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,344 @@
+// Package placer chooses the target of a request.
+//
+// Load shifts within milliseconds, so what an entry saw of a target a moment
+// ago says little. The caller of this package asks a few candidates for their
+// load at the moment of the choice, reports what they say, and then chooses:
+//
+//	for _, t := range service.Candidates(demand, placer.Near, now) {
+//		service.Report(t, load, now)
+//	}
+//	choice := service.Choose(candidates, demand, now)
+//	...
+//	service.Finish(choice.Target, placer.Result{...}, now)
+//
+// It holds no goroutines and does no I/O; time and chance are given to it.
+package placer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"savoryroad.dev/loader"
+	"savoryroad.dev/rationer"
+)
+
+// Registration is what a target says of itself.
+type Registration struct {
+	Name       loader.TargetName
+	Service    loader.ServiceName
+	Address    netip.AddrPort
+	DataCentre loader.DataCentreName
+	// Slots is the number of requests that it runs at the same time.
+	Slots int
+	State loader.TargetState
+	// WarmupLeft is how much longer it was cold when it said so.
+	WarmupLeft time.Duration
+	// Sequence grows with each registration of one start.
+	Sequence uint64
+	// Born is the start of the target as a Unix time in milliseconds. A
+	// larger one under the same name is a new start.
+	Born int64
+}
+
+// Load is what a target says of its load.
+type Load struct {
+	Running, Waiting, Slots int
+	// Pace is how long work takes at this moment, as a multiple of the usual.
+	Pace float64
+}
+
+// Demand is what a request needs.
+type Demand struct {
+	Route loader.RouteName
+	// Objective is the time left within which an answer has its full worth;
+	// it may be negative.
+	Objective time.Duration
+	// Deadline is the time left until nobody waits for an answer.
+	Deadline time.Duration
+	// KiB is the size of the request and its answer, which cost more between
+	// data centres.
+	KiB float64
+	// Work is how long the route's requests take, until that is measured.
+	Work time.Duration
+	// Tried holds the targets that the request was sent to before.
+	Tried []*Target
+}
+
+// Distance groups targets by their data centre.
+type Distance int
+
+// The distances.
+const (
+	// Near targets are in the entry's own data centre.
+	Near Distance = iota
+	// Far targets are in another one.
+	Far
+)
+
+// Service holds what an entry knows of the targets of one service. It is safe
+// for use by several goroutines.
+type Service struct {
+	name loader.ServiceName
+	home loader.DataCentreName
+
+	mu      sync.Mutex
+	rand    *rand.Rand
+	targets map[loader.TargetName]*Target
+	// near and far hold the targets that may get requests.
+	near, far []*Target
+	cold      rationer.ColdLimit
+	share     rationer.Share
+	// work is how long a route's requests take at the usual pace, in seconds.
+	work map[loader.RouteName]float64
+}
+
+// Target is what an entry knows of one target. Its service guards the fields
+// that are not exported.
+type Target struct {
+	Name       loader.TargetName
+	Address    netip.AddrPort
+	DataCentre loader.DataCentreName
+
+	far   bool
+	slots int
+	born  int64
+	// outstanding counts this entry's requests at the target.
+	outstanding int
+	// load is the latest report, from reportedAt; since counts the requests
+	// that this entry has sent after it.
+	load       Load
+	reportedAt time.Time
+	since      int
+	// coldUntil is when the target's warm-up ends.
+	coldUntil time.Time
+	bucket    rationer.Bucket
+	// slowness is the time that requests took as a multiple of what was
+	// expected, and failing the part of them that failed; both fade.
+	slowness, failing float64
+	judgedAt          time.Time
+	// ill is set while the target's health check fails.
+	ill bool
+	// avoidUntil is when a target that could not be reached is tried again;
+	// misses counts the failures in a row.
+	avoidUntil time.Time
+	misses     int
+}
+
+// New returns a service without targets. Home is the entry's data centre.
+func New(name loader.ServiceName, home loader.DataCentreName, seed uint64) *Service {
+	return &Service{
+		name:    name,
+		home:    home,
+		rand:    rand.New(rand.NewPCG(seed, 0)),
+		targets: map[loader.TargetName]*Target{},
+		work:    map[loader.RouteName]float64{},
+	}
+}
+
+// SetCold sets what a cold target of the service bears.
+func (s *Service) SetCold(l rationer.ColdLimit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cold = l
+}
+
+// SetShare sets the entry's share of the fleet.
+func (s *Service) SetShare(share rationer.Share) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.share = share
+}
+
+// SetTargets replaces the targets that may get requests, and returns those
+// that no longer may. A target that stays keeps what is known of it, unless it
+// has started anew.
+func (s *Service) SetTargets(usable []Usable) []*Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := make(map[loader.TargetName]*Target, len(usable))
+	s.near, s.far = nil, nil
+	for _, u := range usable {
+		t := s.targets[u.Name]
+		if t == nil || t.Address != u.Address || t.DataCentre != u.DataCentre || t.born != u.Born {
+			t = &Target{Name: u.Name, Address: u.Address, DataCentre: u.DataCentre, far: u.DataCentre != s.home, born: u.Born, slowness: 1}
+		}
+		t.slots = u.Slots
+		if u.ColdUntil.After(t.coldUntil) {
+			t.coldUntil = u.ColdUntil
+		}
+		next[u.Name] = t
+		if t.far {
+			s.far = append(s.far, t)
+		} else {
+			s.near = append(s.near, t)
+		}
+	}
+	var gone []*Target
+	for name, t := range s.targets {
+		if next[name] != t {
+			gone = append(gone, t)
+		}
+	}
+	s.targets = next
+	return gone
+}
+
+// Usable is a target that may get requests.
+type Usable struct {
+	Registration
+	// ColdUntil is when its warm-up ends.
+	ColdUntil time.Time
+}
+
+// Candidates returns up to n targets that are worth asking for their load,
+// the most promising first. What is not known is drawn by chance, so that
+// entries don't all turn to the same target.
+func (s *Service) Candidates(d Demand, distance Distance, n int, now time.Time) []*Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := s.near
+	if distance == Far {
+		from = s.far
+	}
+	picked := make([]*Target, 0, len(from))
+	for _, t := range from {
+		if now.Before(t.avoidUntil) || slices.Contains(d.Tried, t) {
+			continue
+		}
+		picked = append(picked, t)
+	}
+	s.rand.Shuffle(len(picked), func(i, j int) { picked[i], picked[j] = picked[j], picked[i] })
+	slices.SortStableFunc(picked, func(a, b *Target) int { return a.doubt(now) - b.doubt(now) })
+	return picked[:min(n, len(picked))]
+}
+
+// doubt ranks targets by how likely it is that they serve badly.
+func (t *Target) doubt(now time.Time) int {
+	n := 0
+	if t.ill {
+		n += 2
+	}
+	if now.Before(t.coldUntil) {
+		n++
+	}
+	slowness, failing := t.judged(now)
+	if failing > doubtfulFailing {
+		n++
+	}
+	if slowness > doubtfulSlowness {
+		n++
+	}
+	return n
+}
+
+// Report notes what a target says of itself at this moment. Warmup is how much
+// longer it is cold, or negative when it doesn't say.
+func (s *Service) Report(t *Target, r Report, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.misses, t.ill = 0, r.Ill
+	if r.HasLoad {
+		t.load, t.reportedAt, t.since = r.Load, now, 0
+	}
+	if r.HasWarmup {
+		t.coldUntil = now.Add(r.Warmup)
+	}
+}
+
+// Report is the answer to a health check.
+type Report struct {
+	// Ill is set when the target says that it is failing or leaving.
+	Ill     bool
+	HasLoad bool
+	Load    Load
+	// HasWarmup tells whether the target said how much longer it is cold.
+	HasWarmup bool
+	Warmup    time.Duration
+}
+
+// Miss notes that a target did not answer a health check or could not be
+// reached. It is left alone for a while, longer each time.
+func (s *Service) Miss(t *Target, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.avoidUntil = now.Add(min(firstAvoidance<<min(t.misses, maxAvoidanceShift), maxAvoidance))
+	t.misses++
+}
+
+// Choice is a chosen target, or the reason why there is none.
+type Choice struct {
+	// Target is nil when no candidate can take the request.
+	Target *Target
+	// Expected is when the answer is expected to begin, from now on.
+	Expected time.Duration
+	// Cost weighs the choice; below Good, looking further is not worth it.
+	Cost float64
+	// Wait is when room is expected, if Target is nil.
+	Wait time.Duration
+}
+
+// Choose chooses among targets that have just reported.
+func (s *Service) Choose(from []*Target, d Demand, now time.Time) Choice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := Choice{Wait: d.Deadline}
+	for _, t := range from {
+		expected := s.expect(t, d, now)
+		if !s.admits(t, now) || expected > d.Deadline {
+			best.Wait = min(best.Wait, expected/2)
+			continue
+		}
+		if cost := s.cost(t, d, expected, now); best.Target == nil || cost < best.Cost {
+			best.Target, best.Expected, best.Cost = t, expected, cost
+		}
+	}
+	return best
+}
+
+// Start notes that a request is about to be sent. It tells whether the target
+// still takes it, and is followed by Finish if so.
+func (s *Service) Start(t *Target, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.targets[t.Name] != t || !s.admits(t, now) {
+		return false
+	}
+	if now.Before(t.coldUntil) {
+		t.bucket.Take()
+	}
+	t.outstanding++
+	t.since++
+	return true
+}
+
+// Result is what became of a request at a target.
+type Result struct {
+	Route loader.RouteName
+	// Answered tells whether the target answered with a success.
+	Answered bool
+	// Failed tells whether it failed, or gave no answer when one was due. A
+	// request that was cancelled or did not run is neither.
+	Failed bool
+	// Took is the time from the send to the answer, and Expected what was
+	// expected at the send.
+	Took, Expected time.Duration
+}
+
+// Finish notes the end of a request.
+func (s *Service) Finish(t *Target, r Result, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.outstanding--
+	t.since = max(0, t.since-1)
+	s.judge(t, r, now)
+}
+
+// Targets returns how many targets may get requests.
+func (s *Service) Targets() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.targets)
+}
--- a/savoryroad/main.go
+++ b/savoryroad/main.go
@@ -22,6 +22,7 @@
 )
 
 type commands struct {
+	Serve serveCmd `cmd:"" help:"Run an entry on the platform until SIGTERM or SIGINT. The platform's settings are found by the environment."`
 	Run   runCmd   `cmd:"" help:"Run an entry until SIGTERM or SIGINT. SIGUSR1 writes the state to standard error."`
 	Check checkCmd `cmd:"" help:"Check a settings file and end."`
 }
