Reload settings at SIGHUP and when their file changes; wait at most 3 s for orders

A read of orders could wait 20 s for an answer that was lost. Change: the settings file is read again at SIGHUP and when it has changed; a wait for orders is 3 s.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -113,6 +113,10 @@
 				s.expire(time.Now())
 			}
 		}
+		if _, ok := msg.(boundsMsg); ok {
+			g.rebound()
+			continue
+		}
 		for _, cmd := range g.model.Update(msg, time.Now()) {
 			g.carryOut(cmd)
 		}
@@ -128,6 +132,9 @@
 	}
 }
 
+// boundsMsg says that the settings have other bounds.
+type boundsMsg struct{ tracker.Msg }
+
 // carryOut executes a command of the model.
 func (g *Gateway) carryOut(cmd tracker.Cmd) {
 	switch cmd := cmd.(type) {
@@ -163,18 +170,27 @@
 		if known, ok := old.services[name]; ok {
 			s.placer, s.budget, s.connections = known.placer, known.budget, known.connections
 		} else {
-			b := g.platform.Bounds
+			b := g.bounds.Load()
 			s.placer = placer.New(name, g.platform.DataCentre, rand.Uint64())
 			s.budget = rationer.NewBudget(b.RetryRatio, b.RetrySlack, b.RetryWindow)
 			s.connections = &connections{pools: map[*placer.Target]*carrier.Pool{}}
 		}
-		s.placer.SetCold(coldLimit(c, g.platform.Bounds))
+		s.placer.SetCold(coldLimit(c, *g.bounds.Load()))
 		g.setShare(s)
 		next.services[name] = s
 	}
 	g.board.Store(next)
 }
 
+// rebound passes the bounds of the settings on to the services.
+func (g *Gateway) rebound() {
+	b := g.bounds.Load()
+	for _, s := range g.board.Load().services {
+		s.placer.SetCold(coldLimit(s.config, *b))
+		s.budget.SetBounds(b.RetryRatio, b.RetrySlack)
+	}
+}
+
 // coldLimit is what a cold target of a service bears.
 func coldLimit(c router.Service, b platform.Bounds) rationer.ColdLimit {
 	return rationer.ColdLimit{Rate: c.WarmupRate, Peak: c.WarmupRate*b.WarmupExcess + b.WarmupSlack}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// orderWait is how long a read waits for the next record of operators.
-	// There are few, so that nearly every read brings one.
-	orderWait = 20 * time.Second
+	// orderWait is how long a read waits for the next record of operators. It
+	// bounds how long a read whose answer was lost holds up the next change.
+	orderWait = 3 * time.Second
 	// targetInterval is the time between two reads of the targets' records.
 	// They come all the time, and a leaving target must be known within the
 	// drain bound.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,11 @@
 // Gateway is one entry.
 type Gateway struct {
 	platform platform.Settings
+	// settingsFile is where the platform's settings came from; empty if they
+	// never change.
+	settingsFile string
+	// bounds are those of the latest settings.
+	bounds   atomic.Pointer[platform.Bounds]
 	store    *platform.Store
 	log      zerolog.Logger
 	recorder *recorder.Recorder
@@ -73,6 +78,9 @@
 // WithLogger sets the logger; by default nothing is logged.
 func WithLogger(l zerolog.Logger) Option { return func(g *Gateway) { g.log = l } }
 
+// WithSettingsFile makes the entry follow the changes of the platform's file.
+func WithSettingsFile(file string) Option { return func(g *Gateway) { g.settingsFile = file } }
+
 // New returns an entry.
 func New(p platform.Settings, opts ...Option) *Gateway {
 	g := &Gateway{
@@ -85,6 +93,7 @@
 		model:    tracker.New(),
 	}
 	g.board.Store(&board{})
+	g.bounds.Store(&p.Bounds)
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -106,12 +115,13 @@
 			newTask(g.drained, g.followOrders),
 			newTask(g.drained, g.followTargets),
 			newTask(g.drained, g.keepShare),
+			newTask(g.drained, g.watchSettings),
 		),
 		kratos.BeforeStop(func(context.Context) error {
 			g.drain()
 			return nil
 		}),
-		kratos.StopTimeout(g.platform.Bounds.Grace),
+		kratos.StopTimeout(g.bounds.Load().Grace),
 	)
 	g.log.Info().Str("Entry", string(g.platform.Name)).Str("DataCentre", string(g.platform.DataCentre)).
 		Str("Listen", g.platform.Listen.String()).Msg("started")
@@ -160,7 +170,7 @@
 // Stop waits for the requests in flight as long as the grace time allows.
 func (s *drainingServer) Stop(ctx context.Context) error {
 	defer close(s.g.drained)
-	ctx, cancel := context.WithTimeout(ctx, s.g.platform.Bounds.Grace-noticeTime-graceMargin)
+	ctx, cancel := context.WithTimeout(ctx, s.g.bounds.Load().Grace-noticeTime-graceMargin)
 	defer cancel()
 	if err := s.Server.Stop(ctx); err != nil {
 		s.g.log.Warn().Err(err).Int64("InFlight", s.g.inFlight.Load()).Msg("grace time is over; closing connections")
--- a/rationer/budget.go
+++ b/rationer/budget.go
@@ -48,6 +48,13 @@
 	return &Budget{ratio: ratio, slack: slack, width: max(window/(slots-1), time.Millisecond)}
 }
 
+// SetBounds sets the repeats for each request and the fleet's slack.
+func (b *Budget) SetBounds(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack = ratio, slack
+}
+
 // SetShare sets the entry's share of the fleet, from 0 to 1.
 func (b *Budget) SetShare(share float64) {
 	b.mu.Lock()
--- a/savoryroad/serve.go
+++ b/savoryroad/serve.go
@@ -15,11 +15,12 @@
 
 // Run serves until a signal ends the process.
 func (c *serveCmd) Run() error {
-	s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	file := os.Getenv(platform.SettingsVariable)
+	s, err := platform.ReadSettings(file)
 	if err != nil {
 		return err
 	}
 	logger := zerolog.New(os.Stdout).With().Timestamp().Logger()
-	g := gateway.New(s, gateway.WithLogger(logger))
+	g := gateway.New(s, gateway.WithLogger(logger), gateway.WithSettingsFile(file))
 	return g.Run(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
