Wait at most 1.2 s for orders

Ruled out: a store that turned the machine away (it had answered 10 ms before). Change: a read waits for 1.2 s at most.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// orderWait is how long a read waits for the next record of operators. It
-	// bounds how long a read whose answer was lost holds up the next change.
-	orderWait = 3 * time.Second
+	// orderWait is how long a read waits for the next record of operators. A
+	// read that began while a record was being written may not be woken by it,
+	// so the wait is well within the time in which a change must be in force.
+	orderWait = 1200 * time.Millisecond
 	// targetInterval is the time between two reads of the targets' records.
 	// They come all the time, and a leaving target must be known within the
 	// drain bound.
