Take turns at reading the store, and pass what was read on between entries

Change: courier carries datagrams between entries; an entry reads only when its view has become too old, the one that read last goes first, and whoever reads tells the others (tracker/view.go).

--- /dev/null
+++ b/courier/courier.go
@@ -0,0 +1,190 @@
+// Package courier carries news between entries, in datagrams.
+//
+// News may be lost, repeated or late; whoever needs to be sure reads the store.
+// A Courier knows the addresses of its peers: it greets some, and whoever is
+// greeted answers with the peers that it knows.
+//
+//	c, err := courier.Listen(address)
+//	c.Greet(seeds)
+//	err = c.Run(ctx, func(m courier.Message) { ... })
+//	c.Spread(courier.Message{News: &news})
+package courier
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"savoryroad.dev/loader"
+	"savoryroad.dev/tracker"
+)
+
+const (
+	// version is that of the messages. Messages of another version are
+	// passed over.
+	version = 1
+	// maxDatagram is the largest message, in bytes: what fits into a packet
+	// of any network, less the headers.
+	maxDatagram = 1400
+	// maxPeers bounds the peers that are remembered and told of.
+	maxPeers = 4096
+	// peersPerDatagram is how many addresses fit into one message.
+	peersPerDatagram = 200
+)
+
+// Message is what entries tell each other.
+type Message struct {
+	// Version is that of the sender.
+	Version int
+	// Hello asks for the peers that the receiver knows, and makes the sender
+	// one of them.
+	Hello bool `cbor:",omitempty"`
+	// Bye says that the sender is leaving.
+	Bye bool `cbor:",omitempty"`
+	// Peers are addresses of entries.
+	Peers []netip.Addr `cbor:",omitempty"`
+	// News is what was read from the store.
+	News *tracker.News `cbor:",omitempty"`
+	// Judgements are what the sender has seen of targets.
+	Judgements []Judgement `cbor:",omitempty"`
+}
+
+// Judgement is what an entry has seen of one target lately.
+type Judgement struct {
+	Service loader.ServiceName
+	Target  loader.TargetName
+	// Failing is the part of the requests that failed, from 0 to 1.
+	Failing float64
+	// Slowness is the time that requests took, as a multiple of what was
+	// expected.
+	Slowness float64
+}
+
+// Courier sends and receives messages. It is safe for use by several
+// goroutines.
+type Courier struct {
+	conn *net.UDPConn
+	// self is the entry's own address, and port that of all entries.
+	self netip.Addr
+	port uint16
+
+	mu    sync.Mutex
+	peers map[netip.Addr]bool
+}
+
+// Listen opens the entry's address for news.
+func Listen(address netip.AddrPort) (*Courier, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for news")
+	}
+	return &Courier{conn: conn, self: address.Addr(), port: address.Port(), peers: map[netip.Addr]bool{}}, nil
+}
+
+// Run hands every message to a function, until the context ends. Greetings and
+// peers are dealt with before.
+func (c *Courier) Run(ctx context.Context, handle func(Message)) error {
+	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram+1)
+	for {
+		n, from, err := c.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "news")
+			}
+			// Some systems report here that an earlier datagram found nobody.
+			continue
+		}
+		var m Message
+		if cbor.Unmarshal(buf[:n], &m) != nil || m.Version != version {
+			continue
+		}
+		c.meet(from.Addr().Unmap(), m)
+		handle(m)
+	}
+}
+
+// meet learns who is there from a message, and answers a greeting.
+func (c *Courier) meet(from netip.Addr, m Message) {
+	if m.Bye {
+		c.mu.Lock()
+		delete(c.peers, from)
+		c.mu.Unlock()
+		return
+	}
+	known := c.Peers()
+	c.add(from)
+	if m.Hello {
+		for peers := range slices.Chunk(known, peersPerDatagram) {
+			c.send(from, Message{Peers: peers})
+		}
+	}
+	if fresh := c.add(m.Peers...); len(fresh) > 0 {
+		c.Greet(fresh)
+	}
+}
+
+// add remembers peers and returns those that are new.
+func (c *Courier) add(peers ...netip.Addr) []netip.Addr {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var fresh []netip.Addr
+	for _, p := range peers {
+		if p.IsValid() && p != c.self && !c.peers[p] && len(c.peers) < maxPeers {
+			c.peers[p] = true
+			fresh = append(fresh, p)
+		}
+	}
+	return fresh
+}
+
+// Greet asks entries who else is there. It does nothing for those that don't
+// answer.
+func (c *Courier) Greet(entries []netip.Addr) {
+	for _, e := range entries {
+		if e != c.self {
+			c.send(e, Message{Hello: true})
+		}
+	}
+}
+
+// Peers returns the peers that are known, in no order.
+func (c *Courier) Peers() []netip.Addr {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	peers := make([]netip.Addr, 0, len(c.peers))
+	for p := range c.peers {
+		peers = append(peers, p)
+	}
+	return peers
+}
+
+// Spread sends a message to all peers.
+func (c *Courier) Spread(m Message) { c.sendAll(c.Peers(), m) }
+
+// Leave tells all peers that the entry is leaving.
+func (c *Courier) Leave() { c.Spread(Message{Bye: true}) }
+
+func (c *Courier) send(to netip.Addr, m Message) { c.sendAll([]netip.Addr{to}, m) }
+
+// sendAll sends a message as far as the network takes it.
+func (c *Courier) sendAll(to []netip.Addr, m Message) {
+	m.Version = version
+	data, err := cbor.Marshal(m)
+	if err != nil || len(data) > maxDatagram {
+		return
+	}
+	for _, p := range to {
+		// A datagram that can't be sent is as good as one that is lost.
+		_, _ = c.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(p, c.port))
+	}
+}
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"savoryroad.dev/carrier"
+	"savoryroad.dev/courier"
 	"savoryroad.dev/loader"
 	"savoryroad.dev/placer"
 	"savoryroad.dev/platform"
@@ -85,7 +86,9 @@
 
 const (
 	// tickInterval is how often the control goroutine looks at the time.
-	tickInterval = 250 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
+	// expiryInterval is how often idle connections are looked through.
+	expiryInterval = 500 * time.Millisecond
 	// controlQueue is the number of messages that wait for it.
 	controlQueue = 64
 	// spendableConnections is the part of a target's connections that all
@@ -101,6 +104,7 @@
 func (g *Gateway) control(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	expired := time.Now()
 	for {
 		var msg tracker.Msg
 		select {
@@ -109,8 +113,11 @@
 		case msg = <-g.messages:
 		case <-ticker.C:
 			msg = tracker.TickMsg{}
-			for _, s := range g.board.Load().services {
-				s.expire(time.Now())
+			if now := time.Now(); now.Sub(expired) >= expiryInterval {
+				expired = now
+				for _, s := range g.board.Load().services {
+					s.expire(now)
+				}
 			}
 		}
 		if _, ok := msg.(boundsMsg); ok {
@@ -118,7 +125,7 @@
 			continue
 		}
 		for _, cmd := range g.model.Update(msg, time.Now()) {
-			g.carryOut(cmd)
+			g.carryOut(ctx, cmd)
 		}
 		g.ready.Store(g.model.Config.Version > 0 && g.model.Listed)
 	}
@@ -136,7 +143,7 @@
 type boundsMsg struct{ tracker.Msg }
 
 // carryOut executes a command of the model.
-func (g *Gateway) carryOut(cmd tracker.Cmd) {
+func (g *Gateway) carryOut(ctx context.Context, cmd tracker.Cmd) {
 	switch cmd := cmd.(type) {
 	case tracker.InstallCmd:
 		g.install(cmd.Config)
@@ -152,6 +159,10 @@
 		for _, s := range g.board.Load().services {
 			g.setShare(s)
 		}
+	case tracker.ReadCmd:
+		go g.read(ctx, cmd)
+	case tracker.SpreadCmd:
+		g.courier.Spread(courier.Message{News: &cmd.News})
 	case tracker.LogCmd:
 		g.log.WithLevel(cmd.Level).Fields(cmd.Fields).Msg(cmd.Text)
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"savoryroad.dev/courier"
 	"savoryroad.dev/loader"
 	"savoryroad.dev/placer"
 	"savoryroad.dev/platform"
@@ -14,16 +15,14 @@
 )
 
 const (
-	// orderWait is how long a read waits for the next record of operators. A
-	// read that began while a record was being written may not be woken by it,
-	// so the wait is well within the time in which a change must be in force.
-	orderWait = 1200 * time.Millisecond
-	// targetInterval is the time between two reads of the targets' records.
-	// They come all the time, and a leaving target must be known within the
-	// drain bound.
-	targetInterval = 1200 * time.Millisecond
 	// retryPause is the pause after a call to the store that failed.
 	retryPause = 300 * time.Millisecond
+	// firstGreetings is the time between the first greetings, while entries
+	// that started together begin to listen. It doubles up to greetings.
+	firstGreetings = 250 * time.Millisecond
+	greetings      = 4 * time.Second
+	// greeted is how many of the known peers are greeted each time.
+	greeted = 2
 	// shareTTL is how long a share lasts without being renewed. It outlasts
 	// most outages of the store.
 	shareTTL = 12 * time.Second
@@ -40,117 +39,95 @@
 	shareTopic = "shares"
 )
 
-// followOrders reads the operators' records.
-func (g *Gateway) followOrders(ctx context.Context) {
-	g.follow(ctx, platform.OperatorTopic, orderWait, 0, g.takeOrders, g.takeAllOrders)
+// storeTopics are the names of the topics in the store.
+var storeTopics = map[tracker.Topic]string{
+	tracker.Orders:  platform.OperatorTopic,
+	tracker.Targets: platform.TargetTopic,
 }
 
-// followTargets reads the targets' records.
-func (g *Gateway) followTargets(ctx context.Context) {
-	g.follow(ctx, platform.TargetTopic, 0, targetInterval, g.takeTargets, g.takeAllTargets)
+// read reads a topic of the store and tells the control goroutine.
+func (g *Gateway) read(ctx context.Context, cmd tracker.ReadCmd) {
+	topic, asked := storeTopics[cmd.Topic], time.Now()
+	var page platform.Page
+	var err error
+	if cmd.Full {
+		page, err = g.store.Newest(ctx, topic)
+	} else {
+		page, err = g.store.Read(ctx, topic, platform.Offset(cmd.From), 0)
+	}
+	g.reads.Inc(1)
+	if err != nil {
+		trimmed := errors.Is(err, platform.ErrTrimmed)
+		g.log.Debug().Err(err).Str("Topic", topic).Uint64("From", uint64(cmd.From)).Bool("Trimmed", trimmed).Msg("read of the store failed")
+		g.tell(tracker.ReadFailedMsg{Topic: cmd.Topic, Trimmed: trimmed})
+		return
+	}
+	msg := tracker.ReadMsg{Topic: cmd.Topic, Full: cmd.Full, Next: tracker.Offset(page.Next), Asked: asked}
+	switch {
+	case !cmd.Full:
+		msg.Records = g.decode(cmd.Topic, page.Records)
+	case cmd.Topic == tracker.Orders:
+		msg.Msgs = g.decodeAllOrders(page.Records)
+	default:
+		msg.Msgs = []tracker.Msg{g.decodeAllTargets(page.Records)}
+	}
+	g.tell(msg)
 }
 
-// follow reads the newest record of each key of a topic, and then what
-// changes. Pause is the time between reads; wait is how long one read waits.
-func (g *Gateway) follow(ctx context.Context, topic string, wait, pause time.Duration, take, takeAll func([]platform.Record)) {
-	var next platform.Offset
-	known := false
-	for ctx.Err() == nil {
-		var page platform.Page
-		var err error
-		if known {
-			page, err = g.store.Read(ctx, topic, next, wait)
-		} else {
-			page, err = g.store.Newest(ctx, topic)
-		}
-		switch {
-		case ctx.Err() != nil:
-			return
-		case errors.Is(err, platform.ErrTrimmed):
-			g.log.Warn().Str("Topic", topic).Uint64("Offset", uint64(next)).Msg("records are gone; reading the newest of each key")
-			known = false
-			continue
-		case err != nil:
-			g.storeFailed(topic, err)
-			sleep(ctx, jitter(retryPause))
-			continue
-		}
-		g.tell(tracker.StoreMsg{})
-		if known {
-			take(page.Records)
+// decode decodes the records of a read.
+func (g *Gateway) decode(topic tracker.Topic, records []platform.Record) []tracker.ReadRecord {
+	out := make([]tracker.ReadRecord, 0, len(records))
+	for _, r := range records {
+		rec := tracker.ReadRecord{Offset: tracker.Offset(r.Offset)}
+		if topic == tracker.Orders {
+			rec.Msg = g.decodeOrder(r)
+		} else if registration, ok := g.registration(r); ok {
+			rec.Msg = tracker.RegisterMsg{Registration: registration}
 		} else {
-			takeAll(page.Records)
-		}
-		next, known = page.Next, true
-		if pause > 0 {
-			sleep(ctx, jitter(pause))
+			rec.Msg = tracker.UnregisterMsg{Name: loader.TargetName(r.Key)}
 		}
+		out = append(out, rec)
 	}
+	return out
 }
 
-func (g *Gateway) storeFailed(what string, err error) {
-	g.tell(tracker.StoreMsg{Down: true})
-	g.log.Debug().Err(err).Str("Call", what).Msg("call to the store failed")
-}
-
-func (g *Gateway) takeOrders(records []platform.Record) {
-	for _, r := range records {
-		msg, err := platform.DecodeOrder(r)
-		if err != nil {
-			g.log.Error().Err(err).Str("Key", r.Key).Msg("order can't be read; the last good one stays in force")
-			continue
-		}
-		if msg != nil {
-			g.tell(msg)
-		}
+// decodeOrder decodes an order; it returns nil for one that can't be read.
+func (g *Gateway) decodeOrder(r platform.Record) tracker.Msg {
+	msg, err := platform.DecodeOrder(r)
+	if err != nil {
+		g.log.Error().Err(err).Str("Key", r.Key).Msg("order can't be read; the last good one stays in force")
+		return nil
 	}
+	return msg
 }
 
-// takeAllOrders takes all orders at once; data centres that are not among them
-// are back in.
-func (g *Gateway) takeAllOrders(records []platform.Record) {
+// decodeAllOrders decodes all orders there are. Data centres that are not
+// among them are back in.
+func (g *Gateway) decodeAllOrders(records []platform.Record) []tracker.Msg {
 	out := map[loader.DataCentreName]bool{}
+	var msgs []tracker.Msg
 	for _, r := range records {
-		msg, err := platform.DecodeOrder(r)
-		if err != nil {
-			g.log.Error().Err(err).Str("Key", r.Key).Msg("order can't be read; the last good one stays in force")
-			continue
-		}
-		switch msg := msg.(type) {
+		switch msg := g.decodeOrder(r).(type) {
 		case tracker.EvacuateMsg:
 			if msg.Out {
 				out[msg.DataCentre] = true
 			}
 		case tracker.ConfigMsg:
-			g.tell(msg)
-		}
-	}
-	g.tell(tracker.EvacuatedMsg{DataCentres: out})
-}
-
-func (g *Gateway) takeTargets(records []platform.Record) {
-	// Only the newest record of each key matters.
-	newest := map[string]platform.Record{}
-	for _, r := range records {
-		newest[r.Key] = r
-	}
-	for _, r := range newest {
-		if registration, ok := g.registration(r); ok {
-			g.tell(tracker.RegisterMsg{Registration: registration})
-		} else {
-			g.tell(tracker.UnregisterMsg{Name: loader.TargetName(r.Key)})
+			msgs = append(msgs, msg)
 		}
 	}
+	return append(msgs, tracker.EvacuatedMsg{DataCentres: out})
 }
 
-func (g *Gateway) takeAllTargets(records []platform.Record) {
+// decodeAllTargets decodes all registrations there are.
+func (g *Gateway) decodeAllTargets(records []platform.Record) tracker.Msg {
 	var all []placer.Registration
 	for _, r := range records {
 		if registration, ok := g.registration(r); ok {
 			all = append(all, registration)
 		}
 	}
-	g.tell(tracker.ListMsg{Registrations: all})
+	return tracker.ListMsg{Registrations: all}
 }
 
 // registration decodes a target's record, if it holds a target.
@@ -165,6 +142,31 @@
 	return registration, err == nil
 }
 
+// takeNews hands a peer's message on.
+func (g *Gateway) takeNews(m courier.Message) {
+	if m.News != nil {
+		g.tell(tracker.NewsMsg{News: *m.News})
+	}
+}
+
+// listen takes the news of peers.
+func (g *Gateway) listen(ctx context.Context) {
+	if err := g.courier.Run(ctx, g.takeNews); err != nil {
+		g.log.Error().Err(err).Msg("news of peers is lost")
+	}
+}
+
+// greet keeps looking for entries: it asks those that the platform names, and
+// some of those that are known, who else is there.
+func (g *Gateway) greet(ctx context.Context) {
+	for pause := firstGreetings; ctx.Err() == nil; pause = min(2*pause, greetings) {
+		known := g.courier.Peers()
+		rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+		g.courier.Greet(append(g.platform.Seeds, known[:min(greeted, len(known))]...))
+		sleep(ctx, jitter(pause))
+	}
+}
+
 // keepShare keeps the entry's share of the fleet.
 func (g *Gateway) keepShare(ctx context.Context) {
 	var last platform.Membership
@@ -175,7 +177,7 @@
 			return
 		}
 		if err != nil {
-			g.storeFailed("join", err)
+			g.log.Debug().Err(err).Msg("share not renewed")
 			sleep(ctx, jitter(retryPause))
 			continue
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,7 +13,9 @@
 	"context"
 	"io"
 	stdlog "log"
+	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -24,8 +26,10 @@
 	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"savoryroad.dev/courier"
 	"savoryroad.dev/platform"
 	"savoryroad.dev/rationer"
 	"savoryroad.dev/recorder"
@@ -57,6 +61,8 @@
 	store    *platform.Store
 	log      zerolog.Logger
 	recorder *recorder.Recorder
+	reads    metrics.Counter
+	courier  *courier.Courier
 
 	board    atomic.Pointer[board]
 	messages chan tracker.Msg
@@ -90,8 +96,9 @@
 		recorder: recorder.New(),
 		messages: make(chan tracker.Msg, controlQueue),
 		drained:  make(chan struct{}),
-		model:    tracker.New(),
+		model:    tracker.New(rand.Float64),
 	}
+	g.reads = g.recorder.Counter("store_reads_total")
 	g.board.Store(&board{})
 	g.bounds.Store(&p.Bounds)
 	for _, opt := range opts {
@@ -103,6 +110,11 @@
 // Run serves until a signal or the end of the context.
 func (g *Gateway) Run(ctx context.Context, signals ...os.Signal) error {
 	quietFramework()
+	var err error
+	peers := netip.AddrPortFrom(g.platform.Listen.Addr(), g.platform.PeerPorts[0])
+	if g.courier, err = courier.Listen(peers); err != nil {
+		return err
+	}
 	callers := g.server(g.platform.Listen.String(), g)
 	readiness := g.server(g.platform.Readiness.String(), http.HandlerFunc(g.serveReadiness))
 	app := kratos.New(
@@ -112,8 +124,8 @@
 			&drainingServer{Server: callers, g: g},
 			readiness,
 			newTask(g.drained, g.control),
-			newTask(g.drained, g.followOrders),
-			newTask(g.drained, g.followTargets),
+			newTask(g.drained, g.listen),
+			newTask(g.drained, g.greet),
 			newTask(g.drained, g.keepShare),
 			newTask(g.drained, g.watchSettings),
 		),
@@ -125,7 +137,7 @@
 	)
 	g.log.Info().Str("Entry", string(g.platform.Name)).Str("DataCentre", string(g.platform.DataCentre)).
 		Str("Listen", g.platform.Listen.String()).Msg("started")
-	err := app.Run()
+	err = app.Run()
 	g.log.Info().Int64("InFlight", g.inFlight.Load()).Msg("stopped")
 	return errors.Wrap(err, "entry")
 }
@@ -134,6 +146,7 @@
 // takes requests until they have noticed.
 func (g *Gateway) drain() {
 	g.stopping.Store(true)
+	g.courier.Leave()
 	g.log.Info().Int64("InFlight", g.inFlight.Load()).Msg("stopping")
 	time.Sleep(noticeTime)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -58,7 +58,7 @@
 	if left, ok := platform.Deadline(r.Header); ok && left < route.Timeout {
 		end = arrived.Add(left)
 	}
-	request, err := g.read(w, r, b.router.Config().Limits.BodyBytes, end)
+	request, err := g.readRequest(w, r, b.router.Config().Limits.BodyBytes, end)
 	if err != nil {
 		g.rejectBody(w, r, err)
 		return
@@ -70,8 +70,8 @@
 // errTooLarge says that a body is larger than the configuration allows.
 var errTooLarge = errors.New("the body is too large")
 
-// read reads a request, with its body as far as it is buffered.
-func (g *Gateway) read(w http.ResponseWriter, r *http.Request, limit int64, end time.Time) (carrier.Request, error) {
+// readRequest reads a request, with its body as far as it is buffered.
+func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request, limit int64, end time.Time) (carrier.Request, error) {
 	header := r.Header.Clone()
 	for _, name := range header.Values("Connection") {
 		header.Del(name)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -41,7 +41,17 @@
 	ShareUntil time.Time
 	// Listed is set once the targets have been read.
 	Listed bool
-	Store  StoreLink
+	// Views is how far each topic is known.
+	Views [topics]View
+	// ReturnedAt is when the store was last back after an outage.
+	ReturnedAt time.Time
+	// Away is set during an outage of the store, as far as it is known.
+	Away bool
+
+	// changes holds the latest changes of targets, for the peers.
+	changes []Change
+	// random returns a number from 0 to 1.
+	random func() float64
 }
 
 // Target is what the store says of a target.
@@ -55,17 +65,9 @@
 	Gone bool
 }
 
-// StoreLink is what the entry knows of its link to the store.
-type StoreLink struct {
-	// Down tells whether the latest call failed.
-	Down bool
-	// Since is when Down last changed.
-	Since time.Time
-}
-
-// New returns a model that knows nothing.
-func New() *Model {
-	return &Model{Out: map[loader.DataCentreName]bool{}, Targets: map[loader.TargetName]Target{}}
+// New returns a model that knows nothing. Random returns a number from 0 to 1.
+func New(random func() float64) *Model {
+	return &Model{Out: map[loader.DataCentreName]bool{}, Targets: map[loader.TargetName]Target{}, random: random}
 }
 
 // Msg is something that happened.
@@ -102,9 +104,6 @@
 	Until time.Time
 }
 
-// StoreMsg tells whether a call to the store was answered.
-type StoreMsg struct{ Down bool }
-
 // TickMsg lets time pass.
 type TickMsg struct{}
 
@@ -115,7 +114,6 @@
 func (UnregisterMsg) msg() {}
 func (ListMsg) msg()       {}
 func (ShareMsg) msg()      {}
-func (StoreMsg) msg()      {}
 func (TickMsg) msg()       {}
 
 // Cmd is something to be done.
@@ -164,10 +162,14 @@
 		return m.list(msg.Registrations, now)
 	case ShareMsg:
 		return m.own(msg, now)
-	case StoreMsg:
-		return m.noteStore(msg.Down, now)
+	case ReadMsg:
+		return m.takeRead(msg, now)
+	case ReadFailedMsg:
+		return m.failRead(msg, now)
+	case NewsMsg:
+		return m.takeNews(msg.News, now)
 	case TickMsg:
-		return m.tick(now)
+		return append(m.tick(now), m.turns(now)...)
 	}
 	return nil
 }
@@ -248,7 +250,7 @@
 // excused tells whether registrations may be missing because of an outage of
 // the store. The targets then come back a little after it.
 func (m *Model) excused(now time.Time) bool {
-	return m.Store.Down || (!m.Store.Since.IsZero() && now.Before(m.Store.Since.Add(returnTime)))
+	return !m.ReturnedAt.IsZero() && now.Before(m.ReturnedAt.Add(returnTime))
 }
 
 func (m *Model) list(all []placer.Registration, now time.Time) []Cmd {
@@ -289,25 +291,9 @@
 	return []Cmd{ShareCmd{Share: m.Share}, info("share of the fleet changed", map[string]any{"Owned": len(owned), "Of": msg.Total})}
 }
 
-func (m *Model) noteStore(down bool, now time.Time) []Cmd {
-	if m.Store.Down == down {
-		return nil
-	}
-	since := m.Store.Since
-	m.Store = StoreLink{Down: down, Since: now}
-	fields := map[string]any{}
-	if !since.IsZero() {
-		fields["For"] = now.Sub(since).String()
-	}
-	if down {
-		return []Cmd{LogCmd{Level: zerolog.WarnLevel, Text: "store lost", Fields: fields}}
-	}
-	return []Cmd{info("store regained", fields)}
-}
-
 // tick lets go of what has lapsed.
 func (m *Model) tick(now time.Time) []Cmd {
-	var cmds []Cmd
+	cmds := m.noteOutage(now)
 	if len(m.Share.Owned) > 0 && now.After(m.ShareUntil) {
 		m.Share = rationer.Share{}
 		cmds = append(cmds, ShareCmd{}, LogCmd{Level: zerolog.WarnLevel, Text: "share of the fleet lapsed", Fields: map[string]any{}})
@@ -331,6 +317,22 @@
 	return cmds
 }
 
+// noteOutage notes when the store is lost and regained, by the age of what is
+// known of its targets.
+func (m *Model) noteOutage(now time.Time) []Cmd {
+	v := m.Views[Targets]
+	away := v.Known && v.age(now) > awayAfter
+	if away == m.Away {
+		return nil
+	}
+	m.Away = away
+	fields := map[string]any{"ViewAge": v.age(now).String(), "Offset": v.Next}
+	if away {
+		return []Cmd{LogCmd{Level: zerolog.WarnLevel, Text: "store lost", Fields: fields}}
+	}
+	return []Cmd{info("store regained", fields)}
+}
+
 // place lists the targets that may get requests.
 func (m *Model) place() Cmd {
 	targets := make(map[loader.ServiceName][]placer.Usable, len(m.Config.Services))
--- /dev/null
+++ b/tracker/view.go
@@ -0,0 +1,315 @@
+package tracker
+
+import (
+	"time"
+
+	"savoryroad.dev/placer"
+)
+
+// Every call to the store is one that the store answers to nobody else, and a
+// large fleet asks for the same records. So entries take turns: whoever reads
+// tells the others, and an entry reads by itself only when its view has become
+// too old. The entry that read last goes first the next time. When its news
+// stops, one of the others reads instead, after a time drawn by chance.
+const (
+	// readInterval is how old a view gets before the entry that made it reads
+	// again. A change must be in force, and a leaving target be spared, within
+	// 2 s.
+	readInterval = 700 * time.Millisecond
+	// takeOverAfter is how much older a view gets before another entry reads,
+	// and takeOverSpread the range that each one's own time is drawn from.
+	takeOverAfter  = 250 * time.Millisecond
+	takeOverSpread = 600 * time.Millisecond
+	// failurePause is the least time between two reads that failed, and
+	// failureSpread the range above it. Any entry's success ends the pause
+	// of all.
+	failurePause  = 300 * time.Millisecond
+	failureSpread = 1000 * time.Millisecond
+	// newsWindow is how far back news goes, so that a lost datagram does no
+	// harm if the next one arrives.
+	newsWindow = 3
+	// newsChanges is how many changes of targets fit into one datagram.
+	newsChanges = 6
+	// awayAfter is the age of a view from which on the store must have been
+	// away from every entry.
+	awayAfter = 2 * time.Second
+)
+
+// Topic is a set of records of the store.
+type Topic int
+
+// The topics.
+const (
+	// Orders are what operators want.
+	Orders Topic = iota
+	// Targets are the registrations of targets.
+	Targets
+	topics
+)
+
+// Offset numbers the records of a topic.
+type Offset uint64
+
+// View is how far a topic is known.
+type View struct {
+	// Known is set once the topic was read whole.
+	Known bool
+	// Next is the offset of the first record that is not known.
+	Next Offset
+	// At is the moment up to which the view is complete.
+	At time.Time
+	// Mine is set when this entry made the view.
+	Mine bool
+	// Reading is set while this entry reads the topic.
+	Reading bool
+	// Turn is how old the view gets before this entry reads.
+	Turn time.Duration
+	// PausedUntil is when the next read may begin after one that failed.
+	PausedUntil time.Time
+	// recent holds the offsets of the latest reads, the oldest first.
+	recent []Offset
+}
+
+// News is what an entry has read of a topic, for its peers.
+type News struct {
+	Topic Topic
+	// From and Next bound the records that the news covers.
+	From, Next Offset
+	// Age is how long ago the store was asked.
+	Age time.Duration
+	// Changes are the changes of targets among the records.
+	Changes []Change `cbor:",omitempty"`
+}
+
+// Change is a change of one target.
+type Change struct {
+	Offset Offset
+	// Registration holds only the name of a target that is gone.
+	Registration placer.Registration
+	Gone         bool `cbor:",omitempty"`
+}
+
+// ReadMsg brings what a read found. Records is nil after a whole read of
+// targets, which brings a ListMsg.
+type ReadMsg struct {
+	Topic Topic
+	// Full is set when the topic was read whole.
+	Full bool
+	Next Offset
+	// Asked is when the read began.
+	Asked time.Time
+	// Records holds the records in their order.
+	Records []ReadRecord
+	// Msgs holds what a whole read brings.
+	Msgs []Msg
+}
+
+// ReadRecord is one record of a read.
+type ReadRecord struct {
+	Offset Offset
+	// Msg is nil for a record that says nothing.
+	Msg Msg
+}
+
+// ReadFailedMsg says that a read failed.
+type ReadFailedMsg struct {
+	Topic Topic
+	// Trimmed is set when the records are gone and the topic must be read
+	// whole.
+	Trimmed bool
+}
+
+// NewsMsg brings news of a peer.
+type NewsMsg struct{ News News }
+
+func (ReadMsg) msg()       {}
+func (ReadFailedMsg) msg() {}
+func (NewsMsg) msg()       {}
+
+// ReadCmd asks for a read of the store.
+type ReadCmd struct {
+	Topic Topic
+	// Full asks for the whole topic; From is then not used.
+	Full bool
+	From Offset
+}
+
+// SpreadCmd asks to tell all peers.
+type SpreadCmd struct{ News News }
+
+func (ReadCmd) cmd()   {}
+func (SpreadCmd) cmd() {}
+
+// age is how long a view has not been confirmed.
+func (v *View) age(now time.Time) time.Duration { return now.Sub(v.At) }
+
+// turns begins the reads whose turn it is.
+func (m *Model) turns(now time.Time) []Cmd {
+	var cmds []Cmd
+	for t := range topics {
+		v := &m.Views[t]
+		if !v.Reading && now.After(v.PausedUntil) && (!v.Known || v.age(now) >= v.Turn) {
+			cmds = append(cmds, m.read(t))
+		}
+	}
+	return cmds
+}
+
+// read begins a read.
+func (m *Model) read(t Topic) Cmd {
+	v := &m.Views[t]
+	v.Reading = true
+	return ReadCmd{Topic: t, Full: !v.Known, From: v.Next}
+}
+
+// advance moves a view on to an offset up to which it is complete.
+func (m *Model) advance(t Topic, next Offset, at time.Time, mine bool, now time.Time) {
+	v := &m.Views[t]
+	if t == Targets && v.Known && v.age(now) > awayAfter {
+		m.ReturnedAt = now
+	}
+	v.Known, v.Next, v.Mine = true, next, mine
+	if at.After(v.At) {
+		v.At = at
+	}
+	v.PausedUntil = time.Time{}
+	v.Turn = readInterval
+	if !mine {
+		v.Turn += takeOverAfter + m.draw(takeOverSpread)
+	}
+}
+
+// draw returns a time between zero and a limit.
+func (m *Model) draw(limit time.Duration) time.Duration {
+	return time.Duration(m.random() * float64(limit))
+}
+
+// takeRead takes what a read found. The peers are told, unless the read was
+// made because of their news.
+func (m *Model) takeRead(msg ReadMsg, now time.Time) []Cmd {
+	v := &m.Views[msg.Topic]
+	v.Reading = false
+	if !msg.Full && msg.Next < v.Next {
+		// News has overtaken the read.
+		return nil
+	}
+	from := v.Next
+	// A read that fills a gap in the peers' news, or the first one, leaves the
+	// next turn to others.
+	mine := !msg.Full && (v.Mine || v.age(now) >= v.Turn)
+	m.advance(msg.Topic, msg.Next, msg.Asked, mine, now)
+	var cmds []Cmd
+	for _, one := range msg.Msgs {
+		cmds = append(cmds, m.Update(one, now)...)
+	}
+	for _, r := range msg.Records {
+		if r.Msg == nil || r.Offset < from {
+			continue
+		}
+		before := len(cmds)
+		cmds = append(cmds, m.Update(r.Msg, now)...)
+		if msg.Topic == Targets && len(cmds) > before {
+			m.changes = append(m.changes, change(r))
+		}
+	}
+	if msg.Full {
+		v.recent, m.changes = nil, m.keepOrders(msg.Topic)
+	}
+	v.recent = append(v.recent, msg.Next)
+	if len(v.recent) > newsWindow {
+		v.recent = v.recent[1:]
+	}
+	if mine {
+		cmds = append(cmds, m.spread(msg.Topic, now)...)
+	}
+	return cmds
+}
+
+// keepOrders keeps the changes of targets when another topic was read whole.
+func (m *Model) keepOrders(t Topic) []Change {
+	if t == Targets {
+		return nil
+	}
+	return m.changes
+}
+
+func change(r ReadRecord) Change {
+	switch msg := r.Msg.(type) {
+	case RegisterMsg:
+		return Change{Offset: r.Offset, Registration: msg.Registration}
+	case UnregisterMsg:
+		return Change{Offset: r.Offset, Registration: placer.Registration{Name: msg.Name}, Gone: true}
+	default:
+		return Change{Offset: r.Offset}
+	}
+}
+
+// spread returns the news of a topic, in as many pieces as it needs.
+func (m *Model) spread(t Topic, now time.Time) []Cmd {
+	v := &m.Views[t]
+	from := v.recent[0]
+	if t == Orders {
+		return []Cmd{SpreadCmd{News{Topic: t, From: from, Next: v.Next, Age: v.age(now)}}}
+	}
+	kept := m.changes[:0]
+	for _, c := range m.changes {
+		if c.Offset >= from {
+			kept = append(kept, c)
+		}
+	}
+	m.changes = kept
+	var cmds []Cmd
+	rest := append([]Change(nil), kept...)
+	for len(rest) > newsChanges {
+		next := rest[newsChanges].Offset
+		cmds = append(cmds, SpreadCmd{News{Topic: t, From: from, Next: next, Age: v.age(now), Changes: rest[:newsChanges]}})
+		from, rest = next, rest[newsChanges:]
+	}
+	return append(cmds, SpreadCmd{News{Topic: t, From: from, Next: v.Next, Age: v.age(now), Changes: rest}})
+}
+
+// takeNews takes the news of a peer, or begins a read when it leaves a gap.
+func (m *Model) takeNews(n News, now time.Time) []Cmd {
+	if n.Topic < 0 || n.Topic >= topics || n.Age < 0 {
+		return nil
+	}
+	v := &m.Views[n.Topic]
+	if !v.Known || n.Next < v.Next {
+		return nil
+	}
+	complete := n.Next == v.Next || (n.Topic == Targets && n.From <= v.Next)
+	if !complete {
+		if v.Reading || !now.After(v.PausedUntil) {
+			return nil
+		}
+		v.Mine = false
+		return []Cmd{m.read(n.Topic)}
+	}
+	var cmds []Cmd
+	known := v.Next
+	if at := now.Add(-n.Age); at.After(v.At) || n.Next > v.Next {
+		m.advance(n.Topic, n.Next, at, false, now)
+	}
+	for _, c := range n.Changes {
+		switch {
+		case c.Offset < known:
+		case c.Gone:
+			cmds = append(cmds, m.unregister(c.Registration.Name, now)...)
+		default:
+			cmds = append(cmds, m.Update(RegisterMsg{Registration: c.Registration}, now)...)
+		}
+	}
+	return cmds
+}
+
+// failRead notes that a read failed.
+func (m *Model) failRead(msg ReadFailedMsg, now time.Time) []Cmd {
+	v := &m.Views[msg.Topic]
+	v.Reading = false
+	if msg.Trimmed {
+		v.Known = false
+		return []Cmd{m.read(msg.Topic)}
+	}
+	v.PausedUntil = now.Add(failurePause + m.draw(failureSpread))
+	return nil
+}
