--- a/courier/courier.go
+++ b/courier/courier.go
@@ -12,10 +12,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -35,34 +37,41 @@
 	maxPeers = 4096
 	// peersPerDatagram is how many addresses fit into one message.
 	peersPerDatagram = 200
+	// fanOut is how many peers one entry passes a message on to. Small links
+	// carry that many copies of the largest news between two reads.
+	fanOut = 4
+	// maxRelayed is how many addresses a message carries beside its contents.
+	maxRelayed = 60
 )
 
 // Message is what entries tell each other.
 type Message struct {
 	// Version is that of the sender.
-	Version int
+	Version int `cbor:"0,keyasint"`
 	// Hello asks for the peers that the receiver knows, and makes the sender
 	// one of them.
-	Hello bool `cbor:",omitempty"`
+	Hello bool `cbor:"1,keyasint,omitempty"`
 	// Bye says that the sender is leaving.
-	Bye bool `cbor:",omitempty"`
+	Bye bool `cbor:"2,keyasint,omitempty"`
+	// Relay holds the peers that the receiver passes the message on to.
+	Relay []netip.Addr `cbor:"3,keyasint,omitempty"`
 	// Peers are addresses of entries.
-	Peers []netip.Addr `cbor:",omitempty"`
+	Peers []netip.Addr `cbor:"4,keyasint,omitempty"`
 	// News is what was read from the store.
-	News *tracker.News `cbor:",omitempty"`
+	News *tracker.News `cbor:"5,keyasint,omitempty"`
 	// Judgements are what the sender has seen of targets.
-	Judgements []Judgement `cbor:",omitempty"`
+	Judgements []Judgement `cbor:"6,keyasint,omitempty"`
 }
 
 // Judgement is what an entry has seen of one target lately.
 type Judgement struct {
-	Service loader.ServiceName
-	Target  loader.TargetName
+	Service loader.ServiceName `cbor:"0,keyasint"`
+	Target  loader.TargetName  `cbor:"1,keyasint"`
 	// Failing is the part of the requests that failed, from 0 to 1.
-	Failing float64
+	Failing float64 `cbor:"2,keyasint"`
 	// Slowness is the time that requests took, as a multiple of what was
 	// expected.
-	Slowness float64
+	Slowness float64 `cbor:"3,keyasint"`
 }
 
 // Courier sends and receives messages. It is safe for use by several
@@ -73,6 +82,8 @@
 	self netip.Addr
 	port uint16
 
+	unsent atomic.Int64
+
 	mu    sync.Mutex
 	peers map[netip.Addr]bool
 }
@@ -108,7 +119,11 @@
 		if cbor.Unmarshal(buf[:n], &m) != nil || m.Version != version {
 			continue
 		}
-		c.meet(from.Addr().Unmap(), m)
+		if len(m.Relay) > 0 {
+			c.relay(m.Relay, m)
+		} else if m.News == nil && len(m.Judgements) == 0 {
+			c.meet(from.Addr().Unmap(), m)
+		}
 		handle(m)
 	}
 }
@@ -168,23 +183,46 @@
 	return peers
 }
 
-// Spread sends a message to all peers.
-func (c *Courier) Spread(m Message) { c.sendAll(c.Peers(), m) }
+// Spread sends a message to all peers, along a tree that is drawn anew each
+// time: every receiver passes it on to its part of the others. So no entry
+// sends more than a few copies, and no entry's loss cuts the same ones off
+// twice. (Dynamic Random Broadcast Trees for Improved Load-balancing.)
+func (c *Courier) Spread(m Message) { c.relay(c.Peers(), m) }
 
-// Leave tells all peers that the entry is leaving.
-func (c *Courier) Leave() { c.Spread(Message{Bye: true}) }
+// relay sends a message along a random tree of peers.
+func (c *Courier) relay(peers []netip.Addr, m Message) {
+	if len(peers) == 0 {
+		return
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	branches := max(fanOut, (len(peers)+maxRelayed-1)/maxRelayed)
+	size := max(1, (len(peers)+branches-1)/branches)
+	for branch := range slices.Chunk(peers, size) {
+		m.Relay = branch[1:]
+		c.send(branch[0], m)
+	}
+}
 
-func (c *Courier) send(to netip.Addr, m Message) { c.sendAll([]netip.Addr{to}, m) }
+// Leave tells all peers that the entry is leaving.
+func (c *Courier) Leave() {
+	for _, p := range c.Peers() {
+		c.send(p, Message{Bye: true})
+	}
+}
 
-// sendAll sends a message as far as the network takes it.
-func (c *Courier) sendAll(to []netip.Addr, m Message) {
+// send sends a message as far as the network takes it.
+func (c *Courier) send(to netip.Addr, m Message) {
 	m.Version = version
 	data, err := cbor.Marshal(m)
 	if err != nil || len(data) > maxDatagram {
+		c.unsent.Add(1)
 		return
 	}
-	for _, p := range to {
+	if _, err = c.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(to, c.port)); err != nil {
 		// A datagram that can't be sent is as good as one that is lost.
-		_, _ = c.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(p, c.port))
+		c.unsent.Add(1)
 	}
 }
+
+// Unsent returns how many messages could not be sent.
+func (c *Courier) Unsent() int64 { return c.unsent.Load() }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// retryPause is the pause after a call to the store that failed.
-	retryPause = 300 * time.Millisecond
+	// retryPause is the pause after a renewal of the share that failed.
+	retryPause = 1 * time.Second
 	// firstGreetings is the time between the first greetings, while entries
 	// that started together begin to listen. It doubles up to greetings.
 	firstGreetings = 250 * time.Millisecond
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,20 +27,20 @@
 
 // Registration is what a target says of itself.
 type Registration struct {
-	Name       loader.TargetName
-	Service    loader.ServiceName
-	Address    netip.AddrPort
-	DataCentre loader.DataCentreName
+	Name       loader.TargetName     `cbor:"0,keyasint"`
+	Service    loader.ServiceName    `cbor:"1,keyasint,omitempty"`
+	Address    netip.AddrPort        `cbor:"2,keyasint,omitempty"`
+	DataCentre loader.DataCentreName `cbor:"3,keyasint,omitempty"`
 	// Slots is the number of requests that it runs at the same time.
-	Slots int
-	State loader.TargetState
+	Slots int                `cbor:"4,keyasint,omitempty"`
+	State loader.TargetState `cbor:"5,keyasint,omitempty"`
 	// WarmupLeft is how much longer it was cold when it said so.
-	WarmupLeft time.Duration
+	WarmupLeft time.Duration `cbor:"6,keyasint,omitempty"`
 	// Sequence grows with each registration of one start.
-	Sequence uint64
+	Sequence uint64 `cbor:"7,keyasint,omitempty"`
 	// Born is the start of the target as a Unix time in milliseconds. A
 	// larger one under the same name is a new start.
-	Born int64
+	Born int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Load is what a target says of its load.
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,239 @@
+package placer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"savoryroad.dev/loader"
+	"savoryroad.dev/rationer"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+// fleet returns a service with near and far targets of 2 slots, and the
+// targets by name.
+func fleet(near, far int) (*Service, map[loader.TargetName]*Target) {
+	s := New("s", "home", 1)
+	var all []Usable
+	for i := range near + far {
+		u := usable(fmt.Sprintf("t%d", i))
+		if i >= near {
+			u.DataCentre = "away"
+		}
+		all = append(all, u)
+	}
+	s.SetTargets(all)
+	return s, s.targets
+}
+
+func usable(name string) Usable {
+	return Usable{Registration: Registration{
+		Name: loader.TargetName(name), Service: "s", DataCentre: "home", Slots: 2,
+		Address: netip.MustParseAddrPort("127.0.0.1:80"),
+	}}
+}
+
+func demand() Demand {
+	return Demand{Route: "r", Objective: 400 * time.Millisecond, Deadline: 3 * time.Second, Work: 160 * time.Millisecond}
+}
+
+func idle(pace float64) Report {
+	return Report{HasLoad: true, Load: Load{Slots: 2, Pace: pace}}
+}
+
+func TestChooseByLoad(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		a, b Report
+		want loader.TargetName
+	}{
+		{"the quiet one beside a noisy neighbour", idle(4), idle(1), "t1"},
+		{"the idle one", Report{HasLoad: true, Load: Load{Running: 2, Slots: 2, Pace: 1}}, idle(1), "t1"},
+		{"the idle one, though a little slower", Report{HasLoad: true, Load: Load{Running: 2, Waiting: 1, Slots: 2, Pace: 1}}, idle(1.3), "t1"},
+		{"the healthy one", Report{Ill: true, HasLoad: true, Load: Load{Slots: 2, Pace: 1}}, idle(1.2), "t1"},
+		{"the warm one", Report{HasLoad: true, Load: Load{Slots: 2, Pace: 1}, HasWarmup: true, Warmup: time.Second}, idle(1), "t1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, targets := fleet(2, 0)
+			s.SetCold(rationer.ColdLimit{Rate: 3.5, Peak: 10})
+			s.SetShare(whole())
+			s.Report(targets["t0"], c.a, now)
+			s.Report(targets["t1"], c.b, now)
+			got := s.Choose([]*Target{targets["t0"], targets["t1"]}, demand(), now)
+			if got.Target == nil || got.Target.Name != c.want {
+				t.Errorf("chose %+v", got)
+			}
+		})
+	}
+}
+
+// whole is the share of an entry that is alone.
+func whole() rationer.Share {
+	const partitions = 24
+	s := rationer.Share{Total: partitions, Owned: map[int]time.Time{}}
+	for p := range partitions {
+		s.Owned[p] = now.Add(-time.Minute)
+	}
+	return s
+}
+
+func TestChoosePrefersNearUnlessItIsLate(t *testing.T) {
+	s, targets := fleet(1, 1)
+	d := demand()
+	d.KiB = 60
+	both := []*Target{targets["t0"], targets["t1"]}
+	s.Report(targets["t0"], idle(1.3), now)
+	s.Report(targets["t1"], idle(1), now)
+	if got := s.Choose(both, d, now); got.Target.Name != "t0" {
+		t.Errorf("an upload went far though the near target is in time: %+v", got)
+	}
+	s.Report(targets["t0"], idle(4), now)
+	if got := s.Choose(both, d, now); got.Target.Name != "t1" {
+		t.Errorf("an upload stayed near though it is late there: %+v", got)
+	}
+}
+
+func TestChooseRefusesWhatCannotEndInTime(t *testing.T) {
+	s, targets := fleet(1, 0)
+	s.Report(targets["t0"], idle(4), now)
+	d := demand()
+	d.Deadline = 300 * time.Millisecond
+	if got := s.Choose([]*Target{targets["t0"]}, d, now); got.Target != nil {
+		t.Errorf("chose %+v for a request that ends too late", got)
+	}
+}
+
+// A target never holds more requests than its slots and as many again, as far
+// as its own reports and this entry's sends tell.
+func TestPropertyTargetIsNeverOverfull(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, targets := fleet(3, 0)
+		all := []*Target{targets["t0"], targets["t1"], targets["t2"]}
+		held := map[*Target]int{}
+		at := now
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			at = at.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "pause")) * time.Millisecond)
+			target := all[rapid.IntRange(0, 2).Draw(t, "target")]
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				running := min(held[target], 2)
+				s.Report(target, Report{HasLoad: true, Load: Load{Running: running, Waiting: held[target] - running, Slots: 2, Pace: 1}}, at)
+			case 1:
+				if c := s.Choose(all, demand(), at); c.Target != nil && s.Start(c.Target, at) {
+					held[c.Target]++
+				}
+			default:
+				if held[target] > 0 {
+					held[target]--
+					s.Finish(target, Result{Route: "r", Answered: true, Took: 100 * time.Millisecond, Expected: 100 * time.Millisecond}, at)
+				}
+			}
+			for target, n := range held {
+				if n > 4 {
+					t.Fatalf("%s holds %d requests", target.Name, n)
+				}
+			}
+		}
+	})
+}
+
+func TestFailingTargetIsAskedLastAndRecovers(t *testing.T) {
+	s, targets := fleet(4, 0)
+	bad := targets["t0"]
+	for range 3 {
+		s.Start(bad, now)
+		s.Finish(bad, Result{Route: "r", Failed: true}, now)
+	}
+	for range 20 {
+		for _, c := range s.Candidates(demand(), Near, 3, now) {
+			if c == bad {
+				t.Fatal("a failing target is among the first three of four")
+			}
+		}
+	}
+	later, found := now.Add(10*time.Second), false
+	for range 20 {
+		for _, c := range s.Candidates(demand(), Near, 3, later) {
+			found = found || c == bad
+		}
+	}
+	if !found {
+		t.Error("a target that failed 10 s ago is still kept out")
+	}
+}
+
+func TestMissedTargetIsLeftAloneForAWhile(t *testing.T) {
+	s, targets := fleet(1, 0)
+	s.Miss(targets["t0"], now)
+	if got := s.Candidates(demand(), Near, 3, now.Add(100*time.Millisecond)); len(got) != 0 {
+		t.Error("a target that did not answer is asked again at once")
+	}
+	if got := s.Candidates(demand(), Near, 3, now.Add(firstAvoidance)); len(got) != 1 {
+		t.Error("a target that did not answer is not asked again")
+	}
+}
+
+func TestSetTargetsForgetsAnEarlierStart(t *testing.T) {
+	s, targets := fleet(1, 0)
+	before := targets["t0"]
+	s.Start(before, now)
+	again := usable("t0")
+	again.Born = 2
+	gone := s.SetTargets([]Usable{again})
+	if len(gone) != 1 || gone[0] != before {
+		t.Errorf("gone: %v", gone)
+	}
+	if s.Start(before, now) {
+		t.Error("a request is sent to an earlier start")
+	}
+	if !s.Start(s.targets["t0"], now) {
+		t.Error("the new start gets nothing")
+	}
+}
+
+func TestColdTargetNeedsATicket(t *testing.T) {
+	s, targets := fleet(1, 0)
+	cold := targets["t0"]
+	s.SetCold(rationer.ColdLimit{Rate: 2, Peak: 8})
+	s.Report(cold, Report{HasWarmup: true, Warmup: 3 * time.Second}, now)
+	if s.Start(cold, now) {
+		t.Fatal("a request without a share of the fleet")
+	}
+	s.SetShare(whole())
+	sent := 0
+	for ms := range 2000 {
+		at := now.Add(time.Duration(ms) * time.Millisecond)
+		if s.Start(cold, at) {
+			sent++
+			s.Finish(cold, Result{Route: "r", Answered: true}, at)
+		}
+	}
+	// The bucket was empty without a share; it fills at 2 requests a second.
+	if sent < 3 || sent > 4 {
+		t.Errorf("%d requests in 2 s", sent)
+	}
+}
+
+func benchmark(b *testing.B, n int) {
+	s, targets := fleet(n/4, n-n/4)
+	var near []*Target
+	for _, t := range targets {
+		s.Report(t, idle(1), now)
+		if !t.far && len(near) < 3 {
+			near = append(near, t)
+		}
+	}
+	d := demand()
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Candidates(d, Near, 3, now)
+		s.Choose(near, d, now)
+	}
+}
+
+func BenchmarkPlace20(b *testing.B)  { benchmark(b, 20) }
+func BenchmarkPlace230(b *testing.B) { benchmark(b, 230) }
--- /dev/null
+++ b/rationer/rationer_test.go
@@ -0,0 +1,159 @@
+package rationer
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// The repeats of all entries in any window stay within what the fleet is
+// allowed, whatever the requests, as long as the shares add up to 1.
+func TestPropertyBudgetHoldsOverTheFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, slack, window = 0.2, 60.0, 10 * time.Second
+		entries := rapid.IntRange(1, 20).Draw(t, "entries")
+		budgets := make([]*Budget, entries)
+		for i := range budgets {
+			budgets[i] = NewBudget(ratio, slack, window)
+			budgets[i].SetShare(1 / float64(entries))
+		}
+		type event struct {
+			at     time.Time
+			repeat bool
+		}
+		var events []event
+		now := start
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, entries-1).Draw(t, "entry")]
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				b.Request(now)
+				events = append(events, event{at: now})
+			case 1:
+				if b.Repair(now) {
+					events = append(events, event{now, true})
+				}
+			default:
+				if b.Hedge(now) {
+					events = append(events, event{now, true})
+				}
+			}
+		}
+		for i := range events {
+			requests, repeats := 0, 0
+			for _, e := range events[i:] {
+				if e.at.Sub(events[i].at) > window {
+					break
+				}
+				if e.repeat {
+					repeats++
+				}
+			}
+			// Requests count in this window or the one before it.
+			for _, e := range events {
+				if d := e.at.Sub(events[i].at); !e.repeat && d > -window && d <= window {
+					requests++
+				}
+			}
+			if allowed := ratio*float64(requests) + slack; float64(repeats) > allowed {
+				t.Fatalf("%d repeats in a window with %d requests", repeats, requests)
+			}
+		}
+	})
+}
+
+func TestBudgetKeepsSomeForRepairs(t *testing.T) {
+	b := NewBudget(0.2, 0, 10*time.Second)
+	for range 100 {
+		b.Request(start)
+	}
+	count := func(take func(time.Time) bool) (n int) {
+		for take(start) {
+			n++
+		}
+		return n
+	}
+	hedges := count(b.Hedge)
+	repairs := count(b.Repair)
+	if hedges == 0 || repairs == 0 || hedges+repairs > 20 {
+		t.Errorf("%d hedges and %d repairs of 20", hedges, repairs)
+	}
+	if b.Repair(start.Add(9 * time.Second)) {
+		t.Error("the budget is back before its window is over")
+	}
+}
+
+// What all entries send to a cold target in any second stays within its peak,
+// though they try at any moment and partitions move between them.
+func TestPropertyColdTargetGetsItsRateAtMost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const total = 24
+		limit := ColdLimit{Rate: rapid.Float64Range(0.5, 20).Draw(t, "rate")}
+		limit.Peak = limit.Rate*1.5 + rapid.Float64Range(5, 8).Draw(t, "slack")
+		entries := rapid.IntRange(1, 20).Draw(t, "entries")
+		owner := make([]int, total)
+		since := make([]time.Time, total)
+		buckets := make([]Bucket, entries)
+		now := start
+		var sent []time.Time
+		for range rapid.IntRange(1, 600).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * time.Millisecond)
+			if rapid.IntRange(0, 20).Draw(t, "move") == 0 {
+				p := rapid.IntRange(0, total-1).Draw(t, "partition")
+				owner[p], since[p] = rapid.IntRange(0, entries-1).Draw(t, "owner"), now
+			}
+			e := rapid.IntRange(0, entries-1).Draw(t, "entry")
+			share := Share{Total: total, Owned: map[int]time.Time{}}
+			for p := range owner {
+				if owner[p] == e {
+					share.Owned[p] = since[p]
+				}
+			}
+			buckets[e].Refill(limit, share.Tickets("target", limit, now), now)
+			if buckets[e].Full() {
+				buckets[e].Take()
+				sent = append(sent, now)
+			}
+		}
+		for i := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at.Sub(sent[i]) >= time.Second {
+					break
+				}
+				n++
+			}
+			if float64(n) > limit.Peak {
+				t.Fatalf("%d requests in a second, of %v", n, limit)
+			}
+		}
+	})
+}
+
+func TestColdTargetIsServedBySomebody(t *testing.T) {
+	limit := ColdLimit{Rate: 3.5, Peak: 3.5*1.5 + 5}
+	const total, entries = 24, 18
+	sent := 0
+	for e := range entries {
+		share := Share{Total: total, Owned: map[int]time.Time{}}
+		for p := e; p < total; p += entries {
+			share.Owned[p] = start
+		}
+		var b Bucket
+		for ms := 1000; ms < 3000; ms += 10 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			b.Refill(limit, share.Tickets("target", limit, now), now)
+			if b.Full() {
+				b.Take()
+				sent++
+			}
+		}
+	}
+	if want := int(limit.Rate * 2); sent < want {
+		t.Errorf("%d requests in 2 s, want at least %d", sent, want)
+	}
+}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -28,8 +28,12 @@
 	// newsWindow is how far back news goes, so that a lost datagram does no
 	// harm if the next one arrives.
 	newsWindow = 3
-	// newsChanges is how many changes of targets fit into one datagram.
-	newsChanges = 6
+	// newsChanges is how many changes of targets fit into one datagram,
+	// beside the addresses that it is passed on to.
+	newsChanges = 10
+	// maxNewsChanges is how many changes are told at once. With more, the
+	// peers are left to read the store.
+	maxNewsChanges = 150
 	// awayAfter is the age of a view from which on the store must have been
 	// away from every entry.
 	awayAfter = 2 * time.Second
@@ -72,21 +76,22 @@
 
 // News is what an entry has read of a topic, for its peers.
 type News struct {
-	Topic Topic
+	Topic Topic `cbor:"0,keyasint"`
 	// From and Next bound the records that the news covers.
-	From, Next Offset
+	From Offset `cbor:"1,keyasint"`
+	Next Offset `cbor:"2,keyasint"`
 	// Age is how long ago the store was asked.
-	Age time.Duration
+	Age time.Duration `cbor:"3,keyasint"`
 	// Changes are the changes of targets among the records.
-	Changes []Change `cbor:",omitempty"`
+	Changes []Change `cbor:"4,keyasint,omitempty"`
 }
 
 // Change is a change of one target.
 type Change struct {
-	Offset Offset
+	Offset Offset `cbor:"0,keyasint"`
 	// Registration holds only the name of a target that is gone.
-	Registration placer.Registration
-	Gone         bool `cbor:",omitempty"`
+	Registration placer.Registration `cbor:"1,keyasint"`
+	Gone         bool                `cbor:"2,keyasint,omitempty"`
 }
 
 // ReadMsg brings what a read found. Records is nil after a whole read of
@@ -258,6 +263,9 @@
 		}
 	}
 	m.changes = kept
+	if len(kept) > maxNewsChanges {
+		return []Cmd{SpreadCmd{News{Topic: t, From: v.Next, Next: v.Next, Age: v.age(now)}}}
+	}
 	var cmds []Cmd
 	rest := append([]Change(nil), kept...)
 	for len(rest) > newsChanges {
--- /dev/null
+++ b/tracker/view_test.go
@@ -0,0 +1,193 @@
+package tracker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"savoryroad.dev/loader"
+	"savoryroad.dev/placer"
+	"savoryroad.dev/router"
+)
+
+// readers is a fleet of models with a store and a network between them, moved
+// by a clock of its own.
+type readers struct {
+	t      *rapid.T
+	now    time.Time
+	models []*Model
+	// records holds the store's records of targets.
+	records []Msg
+	// down tells whether the store refuses an entry, lost whether a datagram
+	// is lost.
+	down  func(entry int) bool
+	lost  func() bool
+	reads int
+	// pending holds what happens later.
+	pending []event
+}
+
+type event struct {
+	at    time.Time
+	entry int
+	msg   Msg
+}
+
+// delay is how long an answer or a datagram takes.
+const delay = 5 * time.Millisecond
+
+func newReaders(t *rapid.T, n int) *readers {
+	r := &readers{t: t, now: start, down: func(int) bool { return false }, lost: func() bool { return false }}
+	for i := range n {
+		m := New(rand.New(rand.NewPCG(uint64(i), 7)).Float64)
+		m.Update(ConfigMsg{Config: router.Config{Version: 1, Services: map[loader.ServiceName]router.Service{"s": {}}}}, r.now)
+		r.models = append(r.models, m)
+	}
+	return r
+}
+
+// step lets 10 ms pass.
+func (r *readers) step() {
+	r.now = r.now.Add(10 * time.Millisecond)
+	var later []event
+	due := r.pending
+	r.pending = nil
+	for _, e := range due {
+		if e.at.After(r.now) {
+			later = append(later, e)
+			continue
+		}
+		r.carryOut(e.entry, r.models[e.entry].Update(e.msg, r.now))
+	}
+	r.pending = append(later, r.pending...)
+	for i, m := range r.models {
+		r.carryOut(i, m.Update(TickMsg{}, r.now))
+	}
+}
+
+func (r *readers) carryOut(entry int, cmds []Cmd) {
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case ReadCmd:
+			r.reads++
+			r.pending = append(r.pending, event{r.now.Add(delay), entry, r.read(entry, cmd)})
+		case SpreadCmd:
+			for i := range r.models {
+				if i != entry && !r.lost() {
+					r.pending = append(r.pending, event{r.now.Add(delay), i, NewsMsg{cmd.News}})
+				}
+			}
+		}
+	}
+}
+
+func (r *readers) read(entry int, cmd ReadCmd) Msg {
+	if r.down(entry) {
+		return ReadFailedMsg{Topic: cmd.Topic}
+	}
+	msg := ReadMsg{Topic: cmd.Topic, Full: cmd.Full, Asked: r.now}
+	if cmd.Topic == Orders {
+		return msg
+	}
+	msg.Next = Offset(len(r.records))
+	if !cmd.Full {
+		for i := int(cmd.From); i < len(r.records); i++ {
+			msg.Records = append(msg.Records, ReadRecord{Offset: Offset(i), Msg: r.records[i]})
+		}
+		return msg
+	}
+	newest := map[loader.TargetName]placer.Registration{}
+	for _, one := range r.records {
+		switch one := one.(type) {
+		case RegisterMsg:
+			newest[one.Registration.Name] = one.Registration
+		case UnregisterMsg:
+			delete(newest, one.Name)
+		}
+	}
+	var list ListMsg
+	for _, one := range newest {
+		list.Registrations = append(list.Registrations, one)
+	}
+	msg.Msgs = []Msg{list}
+	return msg
+}
+
+func (r *readers) run(d time.Duration) {
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.step()
+	}
+}
+
+func TestReadsDoNotGrowWithTheFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 60).Draw(t, "entries")
+		r := newReaders(t, n)
+		r.run(3 * time.Second)
+		r.reads = 0
+		r.run(10 * time.Second)
+		// One entry reads each topic every 0.7 s; some moments have two.
+		if most := 2 * 10 * 3; r.reads > most {
+			t.Fatalf("%d entries read %d times in 10 s", n, r.reads)
+		}
+	})
+}
+
+// Every entry that is in touch learns of a change of a target within 2 s,
+// whatever happened before, and though a part of the fleet is refused by the
+// store and datagrams are lost.
+func TestPropertyChangesAreKnownInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 20).Draw(t, "entries")
+		refused := rapid.IntRange(0, n-1).Draw(t, "refused")
+		loss := rapid.Float64Range(0, 0.05).Draw(t, "loss")
+		r := newReaders(t, n)
+		random := rand.New(rand.NewPCG(9, 9))
+		r.lost = func() bool { return random.Float64() < loss }
+		r.run(2 * time.Second)
+		r.down = func(entry int) bool { return entry < refused }
+		sequence := uint64(1)
+		for range rapid.IntRange(1, 10).Draw(t, "changes") {
+			name := fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, "target"))
+			state := loader.TargetState(rapid.IntRange(0, 1).Draw(t, "state"))
+			for range rapid.IntRange(1, 20).Draw(t, "records") {
+				sequence++
+				r.records = append(r.records, RegisterMsg{registration(name, 1, sequence, state)})
+			}
+			r.run(2 * time.Second)
+			for i, m := range r.models {
+				if got := placed(m)[loader.TargetName(name)]; got != (state == loader.Active) {
+					t.Fatalf("entry %d of %d: %s gets requests: %v, its state is %v", i, n, name, got, state)
+				}
+			}
+		}
+	})
+}
+
+// After an outage for all, the whole fleet is up to date within 2 s.
+func TestFleetCatchesUpAfterAnOutage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "entries")
+		r := newReaders(t, n)
+		r.records = []Msg{RegisterMsg{registration("a", 1, 1, loader.Active)}}
+		r.run(2 * time.Second)
+		r.down = func(int) bool { return true }
+		r.reads = 0
+		outage := time.Duration(rapid.IntRange(1, 12).Draw(t, "outage")) * time.Second
+		r.run(outage)
+		if most := int(outage.Seconds()*4)*n + 4*n; r.reads > most {
+			t.Fatalf("%d reads of %d entries in %v", r.reads, n, outage)
+		}
+		r.records = append(r.records, RegisterMsg{registration("a", 1, 2, loader.Draining)})
+		r.down = func(int) bool { return false }
+		r.run(2 * time.Second)
+		for i, m := range r.models {
+			if placed(m)["a"] {
+				t.Fatalf("entry %d of %d has not caught up 2 s after the outage", i, n)
+			}
+		}
+	})
+}
