News carries orders too, in as many frames as it needs

Change: news holds the changes of both topics; messages longer than a datagram are cut into frames, each along a tree of its own.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -18,6 +18,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -27,8 +28,8 @@
 )
 
 const (
-	// version is that of the messages. Messages of another version are
-	// passed over.
+	// version is that of the frames. Frames of another version are passed
+	// over.
 	version = 1
 	// maxDatagram is the largest message, in bytes: what fits into a packet
 	// of any network, less the headers.
@@ -46,15 +47,11 @@
 
 // Message is what entries tell each other.
 type Message struct {
-	// Version is that of the sender.
-	Version int `cbor:"0,keyasint"`
 	// Hello asks for the peers that the receiver knows, and makes the sender
 	// one of them.
 	Hello bool `cbor:"1,keyasint,omitempty"`
 	// Bye says that the sender is leaving.
 	Bye bool `cbor:"2,keyasint,omitempty"`
-	// Relay holds the peers that the receiver passes the message on to.
-	Relay []netip.Addr `cbor:"3,keyasint,omitempty"`
 	// Peers are addresses of entries.
 	Peers []netip.Addr `cbor:"4,keyasint,omitempty"`
 	// News is what was read from the store.
@@ -103,6 +100,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
 	defer stop()
 	buf := make([]byte, maxDatagram+1)
+	assembler := newAssembler()
 	for {
 		n, from, err := c.conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
@@ -115,16 +113,19 @@
 			// Some systems report here that an earlier datagram found nobody.
 			continue
 		}
-		var m Message
-		if cbor.Unmarshal(buf[:n], &m) != nil || m.Version != version {
+		var f frame
+		if cbor.Unmarshal(buf[:n], &f) != nil || f.Version != version {
 			continue
 		}
-		if len(m.Relay) > 0 {
-			c.relay(m.Relay, m)
-		} else if m.News == nil && len(m.Judgements) == 0 {
-			c.meet(from.Addr().Unmap(), m)
+		if len(f.Relay) > 0 {
+			c.relay(f.Relay, f)
+		}
+		if m, ok := assembler.add(f, time.Now()); ok {
+			if m.Hello || m.Bye || len(m.Peers) > 0 {
+				c.meet(from.Addr().Unmap(), m)
+			}
+			handle(m)
 		}
-		handle(m)
 	}
 }
 
@@ -183,14 +184,25 @@
 	return peers
 }
 
-// Spread sends a message to all peers, along a tree that is drawn anew each
-// time: every receiver passes it on to its part of the others. So no entry
-// sends more than a few copies, and no entry's loss cuts the same ones off
-// twice. (Dynamic Random Broadcast Trees for Improved Load-balancing.)
-func (c *Courier) Spread(m Message) { c.relay(c.Peers(), m) }
+// Spread sends a message to all peers, along a tree that is drawn anew for
+// each frame: every receiver passes it on to its part of the others. So no
+// entry sends more than a few copies, and the loss of an entry does not cut
+// the same ones off twice. (Dynamic Random Broadcast Trees for Improved
+// Load-balancing.)
+func (c *Courier) Spread(m Message) {
+	all, err := frames(rand.Uint64(), m)
+	if err != nil || len(all) > maxFrames {
+		c.unsent.Add(1)
+		return
+	}
+	peers := c.Peers()
+	for _, f := range all {
+		c.relay(peers, f)
+	}
+}
 
-// relay sends a message along a random tree of peers.
-func (c *Courier) relay(peers []netip.Addr, m Message) {
+// relay sends a frame along a random tree of peers, whose order it changes.
+func (c *Courier) relay(peers []netip.Addr, f frame) {
 	if len(peers) == 0 {
 		return
 	}
@@ -198,8 +210,8 @@
 	branches := max(fanOut, (len(peers)+maxRelayed-1)/maxRelayed)
 	size := max(1, (len(peers)+branches-1)/branches)
 	for branch := range slices.Chunk(peers, size) {
-		m.Relay = branch[1:]
-		c.send(branch[0], m)
+		f.Relay = branch[1:]
+		c.sendFrame(branch[0], f)
 	}
 }
 
@@ -210,10 +222,21 @@
 	}
 }
 
-// send sends a message as far as the network takes it.
+// send sends a message to one entry.
 func (c *Courier) send(to netip.Addr, m Message) {
-	m.Version = version
-	data, err := cbor.Marshal(m)
+	all, err := frames(rand.Uint64(), m)
+	if err != nil {
+		c.unsent.Add(1)
+		return
+	}
+	for _, f := range all {
+		c.sendFrame(to, f)
+	}
+}
+
+// sendFrame sends a frame as far as the network takes it.
+func (c *Courier) sendFrame(to netip.Addr, f frame) {
+	data, err := cbor.Marshal(f)
 	if err != nil || len(data) > maxDatagram {
 		c.unsent.Add(1)
 		return
--- a/courier/courier_test.go
+++ b/courier/courier_test.go
@@ -1,6 +1,7 @@
 package courier
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
@@ -10,8 +11,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
 
-	"savoryroad.dev/loader"
 	"savoryroad.dev/placer"
 	"savoryroad.dev/tracker"
 )
@@ -80,22 +81,58 @@
 	}
 }
 
-// The largest news fits into a datagram, with the addresses that it is passed
-// on to.
-func TestLargestNewsFits(t *testing.T) {
-	news := tracker.News{Topic: tracker.Targets, From: 1 << 40, Next: 1 << 40, Age: time.Second}
-	for range 10 {
-		news.Changes = append(news.Changes, tracker.Change{Offset: 1 << 40, Registration: placer.Registration{
-			Name: "i-68952ab81d", Service: "vohu5dxx", Address: netip.MustParseAddrPort("10.128.200.100:18080"),
-			DataCentre: "launceston", Slots: 6, State: loader.Draining, WarmupLeft: time.Minute, Sequence: 1 << 30, Born: 1 << 41,
-		}})
+// A frame fits into a datagram with as many addresses as it ever carries.
+func TestFramesFit(t *testing.T) {
+	f := frame{Version: version, ID: 1 << 63, Index: maxFrames - 1, Count: maxFrames, Data: make([]byte, frameBytes)}
+	for range maxRelayed {
+		f.Relay = append(f.Relay, netip.MustParseAddr("10.128.200.100"))
 	}
-	m := Message{Version: version, News: &news}
-	for range maxRelayed - 1 {
-		m.Relay = append(m.Relay, netip.MustParseAddr("10.128.200.100"))
-	}
-	data, err := cbor.Marshal(m)
+	data, err := cbor.Marshal(f)
 	if err != nil || len(data) > maxDatagram {
 		t.Errorf("%d bytes, %v", len(data), err)
 	}
 }
+
+// A message is whole when all its frames have arrived, in any order and some
+// of them twice, and only once.
+func TestPropertyAssembly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := Message{News: &tracker.News{From: 1}}
+		for i := range rapid.IntRange(0, 200).Draw(t, "changes") {
+			m.News.Changes = append(m.News.Changes, tracker.Change{Offset: tracker.Offset(i), Register: &placer.Registration{Name: "target", Service: "service"}})
+		}
+		all, err := frames(7, m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		arriving := append(append([]frame(nil), all...), all[0])
+		arriving = rapid.Permutation(arriving).Draw(t, "order")
+		a, whole := newAssembler(), 0
+		for _, f := range arriving {
+			got, ok := a.add(f, time.Unix(1, 0))
+			if !ok {
+				continue
+			}
+			whole++
+			want, err1 := cbor.Marshal(m)
+			have, err2 := cbor.Marshal(got)
+			if err1 != nil || err2 != nil || !bytes.Equal(want, have) {
+				t.Fatalf("got %+v", got)
+			}
+		}
+		if want := 1; whole != want && len(all) > 1 {
+			t.Fatalf("%d messages of %d frames", whole, len(all))
+		}
+	})
+}
+
+func FuzzFrame(f *testing.F) {
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var one frame
+		if cbor.Unmarshal(data, &one) == nil {
+			// Must not panic, whatever arrives.
+			newAssembler().add(one, time.Unix(1, 0))
+		}
+	})
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -62,6 +62,7 @@
 		g.tell(tracker.ReadFailedMsg{Topic: cmd.Topic, Trimmed: trimmed})
 		return
 	}
+	g.log.Debug().Str("Topic", topic).Uint64("From", uint64(cmd.From)).Bool("Full", cmd.Full).Uint64("Next", uint64(page.Next)).Msg("read")
 	msg := tracker.ReadMsg{Topic: cmd.Topic, Full: cmd.Full, Next: tracker.Offset(page.Next), Asked: asked}
 	switch {
 	case !cmd.Full:
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -48,8 +48,8 @@
 	// Away is set during an outage of the store, as far as it is known.
 	Away bool
 
-	// changes holds the latest changes of targets, for the peers.
-	changes []Change
+	// changes holds the latest changes of each topic, for the peers.
+	changes [topics][]Change
 	// random returns a number from 0 to 1.
 	random func() float64
 }
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -1,9 +1,12 @@
 package tracker
 
 import (
+	"slices"
 	"time"
 
+	"savoryroad.dev/loader"
 	"savoryroad.dev/placer"
+	"savoryroad.dev/router"
 )
 
 // Every call to the store is one that the store answers to nobody else, and a
@@ -28,12 +31,9 @@
 	// newsWindow is how far back news goes, so that a lost datagram does no
 	// harm if the next one arrives.
 	newsWindow = 3
-	// newsChanges is how many changes of targets fit into one datagram,
-	// beside the addresses that it is passed on to.
-	newsChanges = 10
 	// maxNewsChanges is how many changes are told at once. With more, the
 	// peers are left to read the store.
-	maxNewsChanges = 150
+	maxNewsChanges = 500
 	// awayAfter is the age of a view from which on the store must have been
 	// away from every entry.
 	awayAfter = 2 * time.Second
@@ -82,16 +82,51 @@
 	Next Offset `cbor:"2,keyasint"`
 	// Age is how long ago the store was asked.
 	Age time.Duration `cbor:"3,keyasint"`
-	// Changes are the changes of targets among the records.
+	// Changes are what the records change.
 	Changes []Change `cbor:"4,keyasint,omitempty"`
 }
 
-// Change is a change of one target.
+// Change is what one record changes: it holds one of its fields besides the
+// offset.
 type Change struct {
-	Offset Offset `cbor:"0,keyasint"`
-	// Registration holds only the name of a target that is gone.
-	Registration placer.Registration `cbor:"1,keyasint"`
-	Gone         bool                `cbor:"2,keyasint,omitempty"`
+	Offset     Offset               `cbor:"0,keyasint"`
+	Register   *placer.Registration `cbor:"1,keyasint,omitempty"`
+	Unregister loader.TargetName    `cbor:"2,keyasint,omitempty"`
+	Config     *router.Config       `cbor:"3,keyasint,omitempty"`
+	Evacuate   *EvacuateMsg         `cbor:"4,keyasint,omitempty"`
+}
+
+// newChange returns the change that a message makes.
+func newChange(r ReadRecord) Change {
+	c := Change{Offset: r.Offset}
+	switch msg := r.Msg.(type) {
+	case RegisterMsg:
+		c.Register = &msg.Registration
+	case UnregisterMsg:
+		c.Unregister = msg.Name
+	case ConfigMsg:
+		c.Config = &msg.Config
+	case EvacuateMsg:
+		c.Evacuate = &msg
+	}
+	return c
+}
+
+// msg returns the message that makes the change, or nil for one that this
+// version of the program doesn't know.
+func (c Change) msg() Msg {
+	switch {
+	case c.Register != nil:
+		return RegisterMsg{*c.Register}
+	case c.Unregister != "":
+		return UnregisterMsg{c.Unregister}
+	case c.Config != nil:
+		return ConfigMsg{*c.Config}
+	case c.Evacuate != nil:
+		return *c.Evacuate
+	default:
+		return nil
+	}
 }
 
 // ReadMsg brings what a read found. Records is nil after a whole read of
@@ -213,12 +248,12 @@
 		}
 		before := len(cmds)
 		cmds = append(cmds, m.Update(r.Msg, now)...)
-		if msg.Topic == Targets && len(cmds) > before {
-			m.changes = append(m.changes, change(r))
+		if len(cmds) > before {
+			m.changes[msg.Topic] = append(m.changes[msg.Topic], newChange(r))
 		}
 	}
 	if msg.Full {
-		v.recent, m.changes = nil, m.keepOrders(msg.Topic)
+		v.recent, m.changes[msg.Topic] = nil, nil
 	}
 	v.recent = append(v.recent, msg.Next)
 	if len(v.recent) > newsWindow {
@@ -230,50 +265,27 @@
 	return cmds
 }
 
-// keepOrders keeps the changes of targets when another topic was read whole.
-func (m *Model) keepOrders(t Topic) []Change {
-	if t == Targets {
-		return nil
-	}
-	return m.changes
-}
-
-func change(r ReadRecord) Change {
-	switch msg := r.Msg.(type) {
-	case RegisterMsg:
-		return Change{Offset: r.Offset, Registration: msg.Registration}
-	case UnregisterMsg:
-		return Change{Offset: r.Offset, Registration: placer.Registration{Name: msg.Name}, Gone: true}
-	default:
-		return Change{Offset: r.Offset}
-	}
-}
-
-// spread returns the news of a topic, in as many pieces as it needs.
+// spread returns the news of a topic.
 func (m *Model) spread(t Topic, now time.Time) []Cmd {
 	v := &m.Views[t]
-	from := v.recent[0]
-	if t == Orders {
-		return []Cmd{SpreadCmd{News{Topic: t, From: from, Next: v.Next, Age: v.age(now)}}}
-	}
-	kept := m.changes[:0]
-	for _, c := range m.changes {
-		if c.Offset >= from {
-			kept = append(kept, c)
+	n := News{Topic: t, From: v.recent[0], Next: v.Next, Age: v.age(now)}
+	// A configuration replaces the ones before it.
+	latest := Offset(0)
+	for _, c := range m.changes[t] {
+		if c.Config != nil {
+			latest = c.Offset
 		}
 	}
-	m.changes = kept
+	kept := slices.DeleteFunc(m.changes[t], func(c Change) bool {
+		return c.Offset < n.From || (c.Config != nil && c.Offset < latest)
+	})
+	m.changes[t] = kept
 	if len(kept) > maxNewsChanges {
-		return []Cmd{SpreadCmd{News{Topic: t, From: v.Next, Next: v.Next, Age: v.age(now)}}}
-	}
-	var cmds []Cmd
-	rest := append([]Change(nil), kept...)
-	for len(rest) > newsChanges {
-		next := rest[newsChanges].Offset
-		cmds = append(cmds, SpreadCmd{News{Topic: t, From: from, Next: next, Age: v.age(now), Changes: rest[:newsChanges]}})
-		from, rest = next, rest[newsChanges:]
+		n.From = n.Next
+	} else {
+		n.Changes = slices.Clone(kept)
 	}
-	return append(cmds, SpreadCmd{News{Topic: t, From: from, Next: v.Next, Age: v.age(now), Changes: rest}})
+	return []Cmd{SpreadCmd{n}}
 }
 
 // takeNews takes the news of a peer, or begins a read when it leaves a gap.
@@ -285,8 +297,7 @@
 	if !v.Known || n.Next < v.Next {
 		return nil
 	}
-	complete := n.Next == v.Next || (n.Topic == Targets && n.From <= v.Next)
-	if !complete {
+	if n.From > v.Next {
 		if v.Reading || !now.After(v.PausedUntil) {
 			return nil
 		}
@@ -299,12 +310,8 @@
 		m.advance(n.Topic, n.Next, at, false, now)
 	}
 	for _, c := range n.Changes {
-		switch {
-		case c.Offset < known:
-		case c.Gone:
-			cmds = append(cmds, m.unregister(c.Registration.Name, now)...)
-		default:
-			cmds = append(cmds, m.Update(RegisterMsg{Registration: c.Registration}, now)...)
+		if msg := c.msg(); msg != nil && c.Offset >= known {
+			cmds = append(cmds, m.Update(msg, now)...)
 		}
 	}
 	return cmds
