Give requests that will be late spare room only

Change: a request that is expected to miss its objective is sent only where one more doesn't slow the others down; otherwise it is refused at once, not run, and may come back. Conclusion: what waits must still be of use when it is served.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -65,6 +65,11 @@
 	return t.busy() < 2*t.slots
 }
 
+// spare tells whether a target has room that nobody in time needs: one more
+// request doesn't slow the others down. Requests that will be late get no
+// other room, since a target full of them serves nobody in time.
+func (t *Target) spare() bool { return float64(t.busy()+1) <= max(1, knee*float64(t.slots)) }
+
 // busy is the number of requests at the target, as far as it is known.
 func (t *Target) busy() int {
 	if t.reportedAt.IsZero() {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -287,7 +287,7 @@
 	best := Choice{Wait: d.Deadline}
 	for _, t := range from {
 		expected := s.expect(t, d, now)
-		if !s.admits(t, now) || expected > d.Deadline {
+		if !s.admits(t, now) || expected > d.Deadline || (expected > d.Objective && !t.spare()) {
 			best.Wait = min(best.Wait, expected/2)
 			continue
 		}
