--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"io"
 	stdlog "log"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -37,9 +38,9 @@
 )
 
 const (
-	// noticeTime is how long the platform takes to see that an entry is no
+	// defaultNoticeTime is how long the platform takes to see that an entry is no
 	// longer ready: two questions, one second apart, and some delay.
-	noticeTime = 2600 * time.Millisecond
+	defaultNoticeTime = 2600 * time.Millisecond
 	// graceMargin is how long before the end of the grace time an entry ends
 	// by itself.
 	graceMargin = 500 * time.Millisecond
@@ -57,12 +58,13 @@
 	// never change.
 	settingsFile string
 	// bounds are those of the latest settings.
-	bounds   atomic.Pointer[platform.Bounds]
-	store    *platform.Store
-	log      zerolog.Logger
-	recorder *recorder.Recorder
-	reads    metrics.Counter
-	courier  *courier.Courier
+	bounds     atomic.Pointer[platform.Bounds]
+	noticeTime time.Duration
+	store      *platform.Store
+	log        zerolog.Logger
+	recorder   *recorder.Recorder
+	reads      metrics.Counter
+	courier    *courier.Courier
 
 	board    atomic.Pointer[board]
 	messages chan tracker.Msg
@@ -87,16 +89,26 @@
 // WithSettingsFile makes the entry follow the changes of the platform's file.
 func WithSettingsFile(file string) Option { return func(g *Gateway) { g.settingsFile = file } }
 
+// WithStore sets the client of the store; by default it is one of the address
+// in the settings.
+func WithStore(s *platform.Store) Option { return func(g *Gateway) { g.store = s } }
+
+// WithNoticeTime sets how long the platform takes to see that the entry is no
+// longer ready.
+func WithNoticeTime(d time.Duration) Option { return func(g *Gateway) { g.noticeTime = d } }
+
 // New returns an entry.
 func New(p platform.Settings, opts ...Option) *Gateway {
 	g := &Gateway{
 		platform: p,
 		store:    platform.NewStore(p.Store.Address),
 		log:      zerolog.Nop(),
-		recorder: recorder.New(),
-		messages: make(chan tracker.Msg, controlQueue),
-		drained:  make(chan struct{}),
-		model:    tracker.New(rand.Float64),
+
+		noticeTime: defaultNoticeTime,
+		recorder:   recorder.New(),
+		messages:   make(chan tracker.Msg, controlQueue),
+		drained:    make(chan struct{}),
+		model:      tracker.New(rand.Float64),
 	}
 	g.reads = g.recorder.Counter("store_reads_total")
 	g.board.Store(&board{})
@@ -110,15 +122,26 @@
 // Run serves until a signal or the end of the context.
 func (g *Gateway) Run(ctx context.Context, signals ...os.Signal) error {
 	quietFramework()
+	if len(signals) == 0 {
+		signals = []os.Signal{noSignal{}}
+	}
 	var err error
 	peers := netip.AddrPortFrom(g.platform.Listen.Addr(), g.platform.PeerPorts[0])
 	if g.courier, err = courier.Listen(peers); err != nil {
 		return err
 	}
-	callers := g.server(g.platform.Listen.String(), g)
-	readiness := g.server(g.platform.Readiness.String(), http.HandlerFunc(g.serveReadiness))
+	callers, err := g.server(g.platform.Listen, g)
+	if err != nil {
+		return err
+	}
+	readiness, err := g.server(g.platform.Readiness, http.HandlerFunc(g.serveReadiness))
+	if err != nil {
+		return err
+	}
 	app := kratos.New(
-		kratos.Context(ctx),
+		// The framework derives the requests' contexts from this one; they must
+		// outlive the entry's own.
+		kratos.Context(context.WithoutCancel(ctx)),
 		kratos.Signal(signals...),
 		kratos.Server(
 			&drainingServer{Server: callers, g: g},
@@ -137,6 +160,12 @@
 	)
 	g.log.Info().Str("Entry", string(g.platform.Name)).Str("DataCentre", string(g.platform.DataCentre)).
 		Str("Listen", g.platform.Listen.String()).Msg("started")
+	stop := context.AfterFunc(ctx, func() {
+		if err := app.Stop(); err != nil {
+			g.log.Error().Err(err).Msg("stop")
+		}
+	})
+	defer stop()
 	err = app.Run()
 	g.log.Info().Int64("InFlight", g.inFlight.Load()).Msg("stopped")
 	return errors.Wrap(err, "entry")
@@ -148,7 +177,7 @@
 	g.stopping.Store(true)
 	g.courier.Leave()
 	g.log.Info().Int64("InFlight", g.inFlight.Load()).Msg("stopping")
-	time.Sleep(noticeTime)
+	time.Sleep(g.noticeTime)
 }
 
 // serveReadiness answers the platform's question whether callers are welcome.
@@ -158,11 +187,15 @@
 	}
 }
 
-// server returns an HTTP server of the framework that hands every request to
-// one handler.
-func (g *Gateway) server(address string, h http.Handler) *khttp.Server {
+// server listens at an address and returns an HTTP server of the framework
+// that hands every request to one handler.
+func (g *Gateway) server(address netip.AddrPort, h http.Handler) (*khttp.Server, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
 	srv := khttp.NewServer(
-		khttp.Address(address),
+		khttp.Listener(l),
 		khttp.Timeout(0),
 		// Requests skip the framework's own routing, which would rewrite paths.
 		khttp.Filter(func(http.Handler) http.Handler { return h }),
@@ -171,7 +204,7 @@
 	srv.ReadHeaderTimeout = defaultHeaderTimeout
 	srv.IdleTimeout = defaultIdleTimeout
 	srv.ErrorLog = stdlog.New(io.Discard, "", 0)
-	return srv
+	return srv, nil
 }
 
 // drainingServer finishes the requests in flight before it stops.
@@ -183,7 +216,7 @@
 // Stop waits for the requests in flight as long as the grace time allows.
 func (s *drainingServer) Stop(ctx context.Context) error {
 	defer close(s.g.drained)
-	ctx, cancel := context.WithTimeout(ctx, s.g.bounds.Load().Grace-noticeTime-graceMargin)
+	ctx, cancel := context.WithTimeout(ctx, s.g.bounds.Load().Grace-s.g.noticeTime-graceMargin)
 	defer cancel()
 	if err := s.Server.Stop(ctx); err != nil {
 		s.g.log.Warn().Err(err).Int64("InFlight", s.g.inFlight.Load()).Msg("grace time is over; closing connections")
@@ -221,6 +254,16 @@
 
 var _ transport.Server = (*task)(nil)
 
+// noSignal is a signal that never arrives. The framework needs at least one,
+// since an empty list would mean every signal.
+type noSignal struct{}
+
+// String names the signal.
+func (noSignal) String() string { return "none" }
+
+// Signal marks the type as a signal.
+func (noSignal) Signal() {}
+
 // quietFramework silences the framework's logger, which all entries of a
 // process share, once.
 var quietFramework = sync.OnceFunc(func() { kratoslog.SetLogger(quietLogger{}) })
