Log without blocking; metrics and state dumps for operators; tell the framework its address

Logs went to standard output unbounded and blocking; nothing served metrics. Change: the address goes beside the listener (TestServerKnowsItsAddress failed first); scribe queues lines, bounds them per second and counts what it leaves out; an endpoint serves metrics and a dump of the state; deploy/entry.yaml holds the operators' own settings, checked by savoryroad check-entry.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -120,9 +120,13 @@
 				}
 			}
 		}
-		if _, ok := msg.(boundsMsg); ok {
+		switch msg := msg.(type) {
+		case boundsMsg:
 			g.rebound()
 			continue
+		case dumpMsg:
+			msg.answer <- g.dump(time.Now())
+			continue
 		}
 		for _, cmd := range g.model.Update(msg, time.Now()) {
 			g.carryOut(ctx, cmd)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/rs/zerolog"
 
 	"savoryroad.dev/courier"
+	"savoryroad.dev/loader"
 	"savoryroad.dev/platform"
 	"savoryroad.dev/rationer"
 	"savoryroad.dev/recorder"
@@ -78,6 +79,10 @@
 	// to end.
 	ready, stopping atomic.Bool
 	inFlight        atomic.Int64
+	// tuning is the operators' own settings.
+	tuning loader.Tuning
+	// served counts the requests that were served, for sampling their lines.
+	served atomic.Int64
 }
 
 // Option changes a Gateway.
@@ -89,6 +94,10 @@
 // WithSettingsFile makes the entry follow the changes of the platform's file.
 func WithSettingsFile(file string) Option { return func(g *Gateway) { g.settingsFile = file } }
 
+// WithTuning sets the operators' own settings; by default there is no endpoint
+// for operators, and every served request is logged.
+func WithTuning(t loader.Tuning) Option { return func(g *Gateway) { g.tuning = t } }
+
 // WithStore sets the client of the store; by default it is one of the address
 // in the settings.
 func WithStore(s *platform.Store) Option { return func(g *Gateway) { g.store = s } }
@@ -105,6 +114,7 @@
 		log:      zerolog.Nop(),
 
 		noticeTime: defaultNoticeTime,
+		tuning:     loader.Tuning{LogServedOneIn: 1},
 		recorder:   recorder.New(),
 		messages:   make(chan tracker.Msg, controlQueue),
 		drained:    make(chan struct{}),
@@ -138,20 +148,29 @@
 	if err != nil {
 		return err
 	}
+	servers := []transport.Server{
+		&drainingServer{Server: callers, g: g},
+		readiness,
+		newTask(g.drained, g.control),
+		newTask(g.drained, g.listen),
+		newTask(g.drained, g.greet),
+		newTask(g.drained, g.keepShare),
+		newTask(g.drained, g.watchSettings),
+	}
+	if g.tuning.Operator != 0 {
+		at := netip.AddrPortFrom(g.platform.Listen.Addr(), uint16(g.tuning.Operator))
+		operators, err := g.server(at, g.operatorHandler())
+		if err != nil {
+			return err
+		}
+		servers = append(servers, operators)
+	}
 	app := kratos.New(
 		// The framework derives the requests' contexts from this one; they must
 		// outlive the entry's own.
 		kratos.Context(context.WithoutCancel(ctx)),
 		kratos.Signal(signals...),
-		kratos.Server(
-			&drainingServer{Server: callers, g: g},
-			readiness,
-			newTask(g.drained, g.control),
-			newTask(g.drained, g.listen),
-			newTask(g.drained, g.greet),
-			newTask(g.drained, g.keepShare),
-			newTask(g.drained, g.watchSettings),
-		),
+		kratos.Server(servers...),
 		kratos.BeforeStop(func(context.Context) error {
 			g.drain()
 			return nil
@@ -195,6 +214,9 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	srv := khttp.NewServer(
+		// With the address alone beside it, the framework doesn't ask the system
+		// for its network interfaces, which not every machine tells.
+		khttp.Address(l.Addr().String()),
 		khttp.Listener(l),
 		khttp.Timeout(0),
 		// Requests skip the framework's own routing, which would rewrite paths.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -186,6 +186,23 @@
 	return n
 }
 
+// The framework must know a server's address from its settings: a machine may
+// refuse to list its network interfaces.
+func TestServerKnowsItsAddress(t *testing.T) {
+	g := New(platform.Settings{})
+	srv, err := g.server(netip.MustParseAddrPort("127.1.250.1:0"), http.NotFoundHandler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	at, err := srv.Endpoint()
+	if err != nil || at.Hostname() != "127.1.250.1" {
+		t.Errorf("endpoint %v, %v", at, err)
+	}
+	if err := srv.Stop(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestAnswersArePassedOnUnchanged(t *testing.T) {
 	f := newFleet(t, 1, 2)
 	for _, c := range []struct {
--- /dev/null
+++ b/placer/dump.go
@@ -0,0 +1,51 @@
+package placer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"savoryroad.dev/loader"
+)
+
+// Dumped is what is known of a target, for operators.
+type Dumped struct {
+	Target      loader.TargetName
+	Far         bool
+	Outstanding int
+	Load        Load
+	// LoadAge is how old the load is; empty if it is not known.
+	LoadAge  string `json:",omitempty"`
+	Slowness float64
+	Failing  float64
+	Ill      bool   `json:",omitempty"`
+	ColdFor  string `json:",omitempty"`
+	// AvoidedFor is how much longer the target is left alone.
+	AvoidedFor string `json:",omitempty"`
+}
+
+// Dump lists what is known of the targets, by name.
+func (s *Service) Dump(now time.Time) []Dumped {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []Dumped
+	for _, name := range slices.Sorted(maps.Keys(s.targets)) {
+		t := s.targets[name]
+		d := Dumped{Target: name, Far: t.far, Outstanding: t.outstanding, Load: t.load, Ill: t.ill}
+		d.Slowness, d.Failing = t.judged(now)
+		if !t.reportedAt.IsZero() {
+			d.LoadAge = now.Sub(t.reportedAt).String()
+		}
+		d.ColdFor, d.AvoidedFor = left(t.coldUntil, now), left(t.avoidUntil, now)
+		all = append(all, d)
+	}
+	return all
+}
+
+// left is the time until a moment, or empty once it is past.
+func left(until, now time.Time) string {
+	if !now.Before(until) {
+		return ""
+	}
+	return until.Sub(now).String()
+}
--- a/savoryroad/main.go
+++ b/savoryroad/main.go
@@ -22,9 +22,10 @@
 )
 
 type commands struct {
-	Serve serveCmd `cmd:"" help:"Run an entry on the platform until SIGTERM or SIGINT. The platform's settings are found by the environment."`
-	Run   runCmd   `cmd:"" help:"Run an entry until SIGTERM or SIGINT. SIGUSR1 writes the state to standard error."`
-	Check checkCmd `cmd:"" help:"Check a settings file and end."`
+	Serve      serveCmd      `cmd:"" help:"Run an entry on the platform until SIGTERM or SIGINT. The platform's settings are found by the environment."`
+	CheckEntry checkEntryCmd `cmd:"" help:"Check an entry's own settings and end."`
+	Run        runCmd        `cmd:"" help:"Run an entry until SIGTERM or SIGINT. SIGUSR1 writes the state to standard error."`
+	Check      checkCmd      `cmd:"" help:"Check a settings file and end."`
 }
 
 type runCmd struct {
