One line for each failed or refused request, with what decided it; counters by service and target

Cause: a failed request could not be explained from the logs: its targets, their load at the choice and the configuration's version were not in them. Two faults found while writing it: a lookup whose second target was full ended with a panic (TestLookupThatMayHaveRunIsNotRefused failed first: EOF), and a hedge that the budget refused left its target one request too many for good. Change: gateway/report.go writes one line a request, served ones sampled; both faults are mended.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -12,6 +12,7 @@
 	"savoryroad.dev/placer"
 	"savoryroad.dev/platform"
 	"savoryroad.dev/rationer"
+	"savoryroad.dev/recorder"
 	"savoryroad.dev/router"
 	"savoryroad.dev/tracker"
 )
@@ -25,10 +26,11 @@
 
 // service holds what requests need of one service.
 type service struct {
-	name   loader.ServiceName
-	config router.Service
-	placer *placer.Service
-	budget *rationer.Budget
+	name     loader.ServiceName
+	config   router.Service
+	placer   *placer.Service
+	budget   *rationer.Budget
+	recorder *recorder.Recorder
 	*connections
 }
 
@@ -181,7 +183,7 @@
 		services: make(map[loader.ServiceName]*service, len(cfg.Services)),
 	}
 	for name, c := range cfg.Services {
-		s := &service{name: name, config: c}
+		s := &service{name: name, config: c, recorder: g.recorder}
 		if known, ok := old.services[name]; ok {
 			s.placer, s.budget, s.connections = known.placer, known.budget, known.connections
 		} else {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -47,6 +47,12 @@
 	ran bool
 	// inFlight counts the attempts under way.
 	inFlight int
+	// version is that of the configuration which chose the route.
+	version router.Version
+	// looks counts the looks for a target, asked the targets that answered.
+	looks, asked int
+	// attempts holds what is logged of each send.
+	attempts []*attempt
 }
 
 // verdict is what became of a call: answered, refused or failed.
@@ -116,12 +122,13 @@
 	}
 	hedge := time.NewTimer(c.hedgeDelay(p))
 	defer hedge.Stop()
-	c.start(ctx, p, outcomes)
+	c.start(ctx, p, outcomes, false)
 	var last outcome
 	for {
 		select {
 		case o := <-outcomes:
 			c.inFlight--
+			c.note(o)
 			if o.success() {
 				return answered{answer: o.answer, target: o.target}
 			}
@@ -139,13 +146,24 @@
 			c.hedge(ctx, outcomes)
 		case <-ctx.Done():
 			if c.inFlight == 0 && !c.ran {
-				return refused{reason: "time is over", after: retryAfter(c, 0)}
+				return refused{reason: "time is over", after: retryAfter(0)}
 			}
 			return failed{status: http.StatusGatewayTimeout, reason: "no answer in time"}
 		}
 	}
 }
 
+// note notes the end of an attempt for the log.
+func (c *call) note(o outcome) {
+	for _, a := range c.attempts {
+		if a.target == o.target.Name && a.took == 0 {
+			a.took, a.result = time.Since(c.arrived)-a.began, o.result()
+			c.service.countAttempt(a)
+			return
+		}
+	}
+}
+
 // repeatable tells whether the call may be sent to another target.
 func (c *call) repeatable(o outcome) bool {
 	if c.ran && c.route.Class != loader.Lookup {
@@ -163,7 +181,7 @@
 	if v != nil {
 		return false
 	}
-	c.start(ctx, p, outcomes)
+	c.start(ctx, p, outcomes, false)
 	return true
 }
 
@@ -177,10 +195,11 @@
 		return
 	}
 	if !c.service.budget.Hedge(time.Now()) {
-		p.release()
+		c.service.placer.Finish(p.choice.Target, placer.Result{}, time.Now())
+		p.conn.Release()
 		return
 	}
-	c.start(ctx, p, outcomes)
+	c.start(ctx, p, outcomes, true)
 }
 
 // hedgeDelay is how long the first target has before a second one is asked.
@@ -194,10 +213,13 @@
 	case last.answer != nil:
 		return answered{answer: last.answer, target: last.target}
 	case !c.ran:
-		return refused{reason: "targets refused", after: retryAfter(c, 0)}
+		return refused{reason: "targets refused", after: retryAfter(0)}
 	default:
-		c.g.log.Warn().Err(latest.err).Str("Request", c.request.ID).Str("Target", string(latest.target.Name)).Msg("no answer from target")
-		return failed{status: http.StatusBadGateway, reason: "target broke off"}
+		reason := "target broke off"
+		if latest.err != nil {
+			reason += ": " + latest.err.Error()
+		}
+		return failed{status: http.StatusBadGateway, reason: reason}
 	}
 }
 
@@ -207,8 +229,6 @@
 	conn   *carrier.Conn
 }
 
-func (p placement) release() { p.conn.Release() }
-
 // place finds a target, waiting a little for room. Without one the call is
 // refused at once if nothing can come of waiting.
 func (c *call) place(ctx context.Context) (placement, verdict) {
@@ -220,7 +240,7 @@
 			return p, nil
 		}
 		if ctx.Err() != nil || time.Now().Add(lookPause).After(patient) {
-			return placement{}, refused{reason: "no room", after: retryAfter(c, p.choice.Wait)}
+			return placement{}, refused{reason: "no room", after: retryAfter(p.choice.Wait)}
 		}
 		sleep(ctx, jitter(lookPause))
 	}
@@ -237,6 +257,8 @@
 		found = append(found, c.g.look(ctx, s, s.placer.Candidates(d, placer.Far, farLooks, now))...)
 		choice = s.placer.Choose(targetsOf(found), d, time.Now())
 	}
+	c.looks++
+	c.asked += len(found)
 	p := placement{choice: choice}
 	for _, f := range found {
 		if f.target == choice.Target && ctx.Err() == nil && s.placer.Start(f.target, time.Now()) {
@@ -257,7 +279,11 @@
 }
 
 // start sends the call to a target.
-func (c *call) start(ctx context.Context, p placement, outcomes chan<- outcome) {
+func (c *call) start(ctx context.Context, p placement, outcomes chan<- outcome, hedge bool) {
+	c.attempts = append(c.attempts, &attempt{
+		target: p.choice.Target.Name, far: p.choice.Far, load: p.choice.Load, age: p.choice.LoadAge,
+		expected: p.choice.Expected, began: time.Since(c.arrived), hedge: hedge, result: "under way",
+	})
 	c.tried = append(c.tried, p.choice.Target)
 	c.inFlight++
 	c.sends++
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -304,6 +304,24 @@
 	}
 }
 
+// A lookup whose first target breaks off and whose second one is full may have
+// run, so it is not refused.
+func TestLookupThatMayHaveRunIsNotRefused(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	var sends atomic.Int64
+	for _, target := range f.targets {
+		target.SetBehaviour(func(*http.Request) standin.Behaviour {
+			if sends.Add(1) == 1 {
+				return standin.Drop
+			}
+			return standin.Shed
+		})
+	}
+	if got := f.call(f.entries[0], http.MethodGet, "/safe/", "1", nil); got.status != http.StatusBadGateway {
+		t.Errorf("%+v", got)
+	}
+}
+
 func TestTimeoutEndsARequest(t *testing.T) {
 	f := newFleet(t, 1, 2)
 	f.behave(standin.Hang)
--- a/gateway/operator.go
+++ b/gateway/operator.go
@@ -66,6 +66,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		g.recorder.Gauge("in_flight").Update(g.inFlight.Load())
+		g.recorder.Gauge("peers").Update(int64(len(g.courier.Peers())))
 		g.recorder.Gauge("datagrams_unsent").Update(g.courier.Unsent())
 		if err := g.recorder.Write(w); err != nil {
 			g.log.Error().Err(err).Msg("metrics")
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -46,11 +46,16 @@
 	}
 	b := g.board.Load()
 	if b.router == nil {
-		g.refuse(w, r, refused{reason: "no configuration yet", after: maxRetryAfter})
+		id, _ := platform.RequestID(r.Header)
+		g.log.Warn().Str("Request", id).Str("Reason", "no configuration yet").Msg("refused")
+		refuse(w, refused{after: maxRetryAfter})
 		return
 	}
 	route, ok := b.router.Match(r.Host, r.URL.EscapedPath())
 	if !ok {
+		id, _ := platform.RequestID(r.Header)
+		g.log.Info().Str("Request", id).Str("Host", r.Host).Str("Path", r.URL.Path).
+			Uint64("Version", uint64(b.router.Config().Version)).Msg("no route")
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
@@ -63,8 +68,13 @@
 		g.rejectBody(w, r, err)
 		return
 	}
-	c := &call{g: g, route: route, service: b.services[route.Next()], request: request, arrived: arrived, end: end}
-	g.finish(w, r, c, c.run(r.Context()))
+	c := &call{
+		g: g, route: route, service: b.services[route.Next()], request: request, arrived: arrived, end: end,
+		version: b.router.Config().Version,
+	}
+	v := c.run(r.Context())
+	c.report(v, r.Context().Err() != nil)
+	g.finish(w, r, c, v)
 }
 
 // errTooLarge says that a body is larger than the configuration allows.
@@ -140,10 +150,8 @@
 	case answered:
 		g.passOn(w, r, c, v)
 	case refused:
-		g.refuse(w, r, v)
+		refuse(w, v)
 	case failed:
-		g.log.Warn().Str("Request", c.request.ID).Str("Route", string(c.route.Name)).Str("Reason", v.reason).
-			Int("Sends", c.sends).Dur("Took", time.Since(c.arrived)).Msg("failed")
 		w.WriteHeader(v.status)
 	}
 }
@@ -204,16 +212,14 @@
 }
 
 // refuse tells a caller that its request did not run, and when to come back.
-func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, v refused) {
-	id, _ := platform.RequestID(r.Header)
-	g.log.Info().Str("Request", id).Str("Reason", v.reason).Dur("RetryAfter", v.after).Msg("refused")
+func refuse(w http.ResponseWriter, v refused) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(v.after.Seconds(), 'f', 3, 64))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // retryAfter spreads the return of refused callers around the moment at which
 // room is expected.
-func retryAfter(_ *call, wait time.Duration) time.Duration {
+func retryAfter(wait time.Duration) time.Duration {
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return time.Duration(float64(wait) * (0.75 + 0.5*rand.Float64()))
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -278,6 +278,12 @@
 	Cost float64
 	// Wait is when room is expected, if Target is nil.
 	Wait time.Duration
+	// Load is the target's latest report, and LoadAge how old that is; -1 if
+	// there is none.
+	Load    Load
+	LoadAge time.Duration
+	// Far is set for a target in another data centre.
+	Far bool
 }
 
 // Choose chooses among targets that have just reported.
@@ -295,6 +301,12 @@
 			best.Target, best.Expected, best.Cost = t, expected, cost
 		}
 	}
+	if t := best.Target; t != nil {
+		best.Load, best.LoadAge, best.Far = t.load, -1, t.far
+		if !t.reportedAt.IsZero() {
+			best.LoadAge = now.Sub(t.reportedAt)
+		}
+	}
 	return best
 }
 
