Ask familiar targets first; leave long configurations to be read

Change: orders are told once, and configurations beyond 80 routes not at all: peers read them. Conclusion: the links, not the entries, bound what news may hold.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -15,6 +15,9 @@
 package placer
 
 import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -83,6 +86,7 @@
 type Service struct {
 	name loader.ServiceName
 	home loader.DataCentreName
+	seed uint64
 
 	mu      sync.Mutex
 	rand    *rand.Rand
@@ -105,6 +109,10 @@
 	far   bool
 	slots int
 	born  int64
+	// rank orders targets in a way that is the entry's own; familiar is set
+	// for the first of them, which this entry asks first.
+	rank     uint64
+	familiar bool
 	// outstanding counts this entry's requests at the target.
 	outstanding int
 	// load is the latest report, from reportedAt; since counts the requests
@@ -132,6 +140,7 @@
 	return &Service{
 		name:    name,
 		home:    home,
+		seed:    seed,
 		rand:    rand.New(rand.NewPCG(seed, 0)),
 		targets: map[loader.TargetName]*Target{},
 		work:    map[loader.RouteName]float64{},
@@ -163,7 +172,7 @@
 	for _, u := range usable {
 		t := s.targets[u.Name]
 		if t == nil || t.Address != u.Address || t.DataCentre != u.DataCentre || t.born != u.Born {
-			t = &Target{Name: u.Name, Address: u.Address, DataCentre: u.DataCentre, far: u.DataCentre != s.home, born: u.Born, slowness: 1}
+			t = &Target{Name: u.Name, Address: u.Address, DataCentre: u.DataCentre, far: u.DataCentre != s.home, born: u.Born, rank: s.rankOf(u.Name), slowness: 1}
 		}
 		t.slots = u.Slots
 		if u.ColdUntil.After(t.coldUntil) {
@@ -176,6 +185,8 @@
 			s.near = append(s.near, t)
 		}
 	}
+	s.familiarise(s.near, familiarNear)
+	s.familiarise(s.far, familiarFar)
 	var gone []*Target
 	for name, t := range s.targets {
 		if next[name] != t {
@@ -186,6 +197,25 @@
 	return gone
 }
 
+// familiarise marks the n targets that the entry asks first. They follow from
+// the names of the targets and a number of the entry's own, so each entry has
+// others, and a change of some targets leaves the rest as they are.
+func (s *Service) familiarise(targets []*Target, n int) {
+	byRank := slices.Clone(targets)
+	slices.SortFunc(byRank, func(a, b *Target) int { return cmp.Compare(a.rank, b.rank) })
+	for i, t := range byRank {
+		t.familiar = i < n
+	}
+}
+
+// rankOf returns a target's rank at this entry.
+func (s *Service) rankOf(name loader.TargetName) uint64 {
+	h := fnv.New64a()
+	h.Write(binary.LittleEndian.AppendUint64(nil, s.seed))
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
 // Usable is a target that may get requests.
 type Usable struct {
 	Registration
@@ -212,7 +242,26 @@
 	}
 	s.rand.Shuffle(len(picked), func(i, j int) { picked[i], picked[j] = picked[j], picked[i] })
 	slices.SortStableFunc(picked, func(a, b *Target) int { return a.doubt(now) - b.doubt(now) })
-	return picked[:min(n, len(picked))]
+	return s.prefer(picked, n)
+}
+
+// prefer returns n of the candidates: the familiar ones first, to which there
+// are connections, but for one that may be any. So no target is left to the
+// entries that happen to be familiar with it.
+func (s *Service) prefer(picked []*Target, n int) []*Target {
+	if len(picked) <= n {
+		return picked
+	}
+	stranger := n - 1
+	for i, t := range picked {
+		if t.familiar && stranger > 0 {
+			stranger--
+			// The order of the others stays as it was drawn.
+			copy(picked[n-1-stranger:i+1], picked[n-2-stranger:i])
+			picked[n-2-stranger] = t
+		}
+	}
+	return picked[:n]
 }
 
 // doubt ranks targets by how likely it is that they serve badly.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -237,3 +237,41 @@
 
 func BenchmarkPlace20(b *testing.B)  { benchmark(b, 20) }
 func BenchmarkPlace230(b *testing.B) { benchmark(b, 230) }
+
+// Of many targets an entry asks a few familiar ones first, and one that may be
+// any, so that each target is asked by somebody.
+func TestFamiliarTargetsAreAskedFirst(t *testing.T) {
+	s, _ := fleet(60, 0)
+	asked := map[*Target]int{}
+	const looks = 3000
+	for range looks {
+		for _, c := range s.Candidates(demand(), Near, 3, now) {
+			asked[c]++
+		}
+	}
+	familiar := 0
+	for c, n := range asked {
+		if c.familiar {
+			familiar += n
+		}
+	}
+	if len(asked) != 60 || familiar < 2*looks || familiar > 2*looks+looks/2 {
+		t.Errorf("%d targets asked, %d of %d times familiar ones", len(asked), familiar, 3*looks)
+	}
+	before := map[loader.TargetName]bool{}
+	var rest []Usable
+	for name, target := range s.targets {
+		before[name] = target.familiar
+		rest = append(rest, Usable{Registration: Registration{Name: name, Address: target.Address, DataCentre: target.DataCentre, Slots: 2}})
+	}
+	s.SetTargets(rest[1:])
+	changed := 0
+	for name, target := range s.targets {
+		if target.familiar != before[name] {
+			changed++
+		}
+	}
+	if changed > 1 {
+		t.Errorf("one target less changed %d familiar ones", changed)
+	}
+}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -28,12 +28,17 @@
 	// of all.
 	failurePause  = 300 * time.Millisecond
 	failureSpread = 1000 * time.Millisecond
-	// newsWindow is how far back news goes, so that a lost datagram does no
-	// harm if the next one arrives.
-	newsWindow = 3
+	// targetNews and orderNews are how many reads the news of a topic covers:
+	// with 2, a lost datagram does no harm if the next one arrives. Orders are
+	// long; an entry that missed one reads the store.
+	targetNews = 2
+	orderNews  = 1
 	// maxNewsChanges is how many changes are told at once. With more, the
 	// peers are left to read the store.
 	maxNewsChanges = 500
+	// maxNewsRoutes is the size of a configuration up to which it is told, in
+	// routes of about 250 bytes: small links carry it within a read's time.
+	maxNewsRoutes = 80
 	// awayAfter is the age of a view from which on the store must have been
 	// away from every entry.
 	awayAfter = 2 * time.Second
@@ -256,7 +261,11 @@
 		v.recent, m.changes[msg.Topic] = nil, nil
 	}
 	v.recent = append(v.recent, msg.Next)
-	if len(v.recent) > newsWindow {
+	reads := targetNews
+	if msg.Topic == Orders {
+		reads = orderNews
+	}
+	if len(v.recent) > reads+1 {
 		v.recent = v.recent[1:]
 	}
 	if mine {
@@ -280,7 +289,8 @@
 		return c.Offset < n.From || (c.Config != nil && c.Offset < latest)
 	})
 	m.changes[t] = kept
-	if len(kept) > maxNewsChanges {
+	tooLong := func(c Change) bool { return c.Config != nil && len(c.Config.Routes) > maxNewsRoutes }
+	if len(kept) > maxNewsChanges || slices.ContainsFunc(kept, tooLong) {
 		n.From = n.Next
 	} else {
 		n.Changes = slices.Clone(kept)
