--- a/gateway/call.go
+++ b/gateway/call.go
@@ -69,6 +69,8 @@
 	// after is when the caller may come back.
 	after  time.Duration
 	reason string
+	// least is when the first answer was expected of the targets asked.
+	least time.Duration
 }
 
 // failed says that there is no answer, and that the request may have run.
@@ -240,7 +242,7 @@
 			return p, nil
 		}
 		if ctx.Err() != nil || time.Now().Add(lookPause).After(patient) {
-			return placement{}, refused{reason: "no room", after: retryAfter(p.choice.Wait)}
+			return placement{}, refused{reason: "no room", after: retryAfter(p.choice.Wait), least: p.choice.Least}
 		}
 		sleep(ctx, jitter(lookPause))
 	}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -66,7 +66,8 @@
 		}
 	case refused:
 		kind = "refused"
-		e = c.g.log.Warn().Int("Status", http.StatusServiceUnavailable).Str("Reason", v.reason).Dur("RetryAfter", v.after)
+		e = c.g.log.Warn().Int("Status", http.StatusServiceUnavailable).Str("Reason", v.reason).Dur("RetryAfter", v.after).
+			Dur("Least", v.least).Dur("Objective", c.route.Objective)
 	case failed:
 		kind = "failed"
 		if callerGone {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -325,8 +325,9 @@
 	Expected time.Duration
 	// Cost weighs the choice; below Good, looking further is not worth it.
 	Cost float64
-	// Wait is when room is expected, if Target is nil.
-	Wait time.Duration
+	// Wait is when room is expected, and Least the earliest answer of those
+	// that were turned down, if Target is nil. Least is 0 if none was asked.
+	Wait, Least time.Duration
 	// Load is the target's latest report, and LoadAge how old that is; -1 if
 	// there is none.
 	Load    Load
@@ -344,6 +345,9 @@
 		expected := s.expect(t, d, now)
 		if !s.admits(t, now) || expected > d.Deadline || (expected > d.Objective && !t.spare()) {
 			best.Wait = min(best.Wait, expected/2)
+			if best.Least == 0 || expected < best.Least {
+				best.Least = expected
+			}
 			continue
 		}
 		if cost := s.cost(t, d, expected, now); best.Target == nil || cost < best.Cost {
