News covers what was heard, not only what was read

Whoever had missed the first news took the second for all there was, and never learned of the change. Ruled out: lost datagrams alone (whoever misses news reads the store within 1.6 s). Change: what was heard is told on like what was read. Up to 32 peers are told directly, more along a tree of two levels, since an entry that is dead cuts off those behind it. Conclusion: a view may claim only what it can also tell.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -38,9 +39,9 @@
 	maxPeers = 4096
 	// peersPerDatagram is how many addresses fit into one message.
 	peersPerDatagram = 200
-	// fanOut is how many peers one entry passes a message on to. Small links
-	// carry that many copies of the largest news between two reads.
-	fanOut = 4
+	// direct is up to how many peers are told without a tree, so that no
+	// dead entry on the way cuts others off.
+	direct = 32
 	// maxRelayed is how many addresses a message carries beside its contents.
 	maxRelayed = 60
 )
@@ -207,8 +208,11 @@
 		return
 	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	branches := max(fanOut, (len(peers)+maxRelayed-1)/maxRelayed)
-	size := max(1, (len(peers)+branches-1)/branches)
+	size := 1
+	if n := len(peers); n > direct {
+		// Two levels: links are small, and each level may hold a dead entry.
+		size = min(maxRelayed, int(math.Sqrt(float64(n))))
+	}
 	for branch := range slices.Chunk(peers, size) {
 		f.Relay = branch[1:]
 		c.sendFrame(branch[0], f)
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -260,18 +260,27 @@
 	if msg.Full {
 		v.recent, m.changes[msg.Topic] = nil, nil
 	}
-	v.recent = append(v.recent, msg.Next)
+	m.extend(msg.Topic)
+	if mine {
+		cmds = append(cmds, m.spread(msg.Topic, now)...)
+	}
+	return cmds
+}
+
+// extend notes that a view has grown, with its changes. News covers what was
+// read and what was heard alike: it would otherwise claim to be complete
+// without the changes that this entry has heard of.
+func (m *Model) extend(t Topic) {
+	v := &m.Views[t]
+	v.recent = append(v.recent, v.Next)
 	reads := targetNews
-	if msg.Topic == Orders {
+	if t == Orders {
 		reads = orderNews
 	}
 	if len(v.recent) > reads+1 {
 		v.recent = v.recent[1:]
 	}
-	if mine {
-		cmds = append(cmds, m.spread(msg.Topic, now)...)
-	}
-	return cmds
+	m.changes[t] = slices.DeleteFunc(m.changes[t], func(c Change) bool { return c.Offset < v.recent[0] })
 }
 
 // spread returns the news of a topic.
@@ -285,9 +294,7 @@
 			latest = c.Offset
 		}
 	}
-	kept := slices.DeleteFunc(m.changes[t], func(c Change) bool {
-		return c.Offset < n.From || (c.Config != nil && c.Offset < latest)
-	})
+	kept := slices.DeleteFunc(m.changes[t], func(c Change) bool { return c.Config != nil && c.Offset < latest })
 	m.changes[t] = kept
 	tooLong := func(c Change) bool { return c.Config != nil && len(c.Config.Routes) > maxNewsRoutes }
 	if len(kept) > maxNewsChanges || slices.ContainsFunc(kept, tooLong) {
@@ -322,8 +329,12 @@
 	for _, c := range n.Changes {
 		if msg := c.msg(); msg != nil && c.Offset >= known {
 			cmds = append(cmds, m.Update(msg, now)...)
+			m.changes[n.Topic] = append(m.changes[n.Topic], c)
 		}
 	}
+	if n.Next > known {
+		m.extend(n.Topic)
+	}
 	return cmds
 }
 
--- a/tracker/view_test.go
+++ b/tracker/view_test.go
@@ -28,6 +28,8 @@
 	reads int
 	// pending holds what happens later.
 	pending []event
+	// slow is how long the store takes to answer.
+	slow func() time.Duration
 }
 
 type event struct {
@@ -40,7 +42,7 @@
 const delay = 5 * time.Millisecond
 
 func newReaders(t *rapid.T, n int) *readers {
-	r := &readers{t: t, now: start, down: func(int) bool { return false }, lost: func() bool { return false }}
+	r := &readers{t: t, now: start, down: func(int) bool { return false }, lost: func() bool { return false }, slow: func() time.Duration { return delay }}
 	for i := range n {
 		m := New(rand.New(rand.NewPCG(uint64(i), 7)).Float64)
 		m.Update(ConfigMsg{Config: router.Config{Version: 1, Services: map[loader.ServiceName]router.Service{"s": {}}}}, r.now)
@@ -73,7 +75,7 @@
 		switch cmd := cmd.(type) {
 		case ReadCmd:
 			r.reads++
-			r.pending = append(r.pending, event{r.now.Add(delay), entry, r.read(entry, cmd)})
+			r.pending = append(r.pending, event{r.now.Add(r.slow()), entry, r.read(entry, cmd)})
 		case SpreadCmd:
 			for i := range r.models {
 				if i != entry && !r.lost() {
@@ -167,6 +169,35 @@
 	})
 }
 
+// Every entry learns of a change within 2 s also after an outage, with a store
+// that takes up to 60 times as long as usual to answer and with a third of the
+// news lost, as when the entries that would pass it on are dead.
+func TestPropertyChangesAreKnownThroughASlowStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 20).Draw(t, "entries")
+		seed := rapid.Uint64().Draw(t, "seed")
+		r := newReaders(t, n)
+		random := rand.New(rand.NewPCG(seed, 9))
+		r.lost = func() bool { return random.Float64() < 1.0/3 }
+		r.slow = func() time.Duration {
+			return 4*time.Millisecond + time.Duration(random.Int64N(int64(236*time.Millisecond)))
+		}
+		r.records = []Msg{RegisterMsg{registration("a", 1, 1, loader.Active)}}
+		r.run(3 * time.Second)
+		r.down = func(int) bool { return true }
+		r.run(time.Duration(rapid.IntRange(0, 6).Draw(t, "outage")) * time.Second)
+		r.down = func(int) bool { return false }
+		r.run(time.Duration(rapid.IntRange(0, 1000).Draw(t, "calm")) * time.Millisecond)
+		r.records = append(r.records, RegisterMsg{registration("a", 1, 2, loader.Draining)})
+		r.run(2 * time.Second)
+		for i, m := range r.models {
+			if placed(m)["a"] {
+				t.Fatalf("entry %d of %d has not learned of a change after 2 s: %+v", i, n, m.Views[Targets])
+			}
+		}
+	})
+}
+
 // After an outage for all, the whole fleet is up to date within 2 s.
 func TestFleetCatchesUpAfterAnOutage(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
