Peers tell all they know to an entry that the store turns away

Change: after a read that failed an entry asks one peer, which answers with all it knows of the topic. Conclusion: peers stand in for the store for what was missed, too.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -6,7 +6,7 @@
 //
 //	c, err := courier.Listen(address)
 //	c.Greet(seeds)
-//	err = c.Run(ctx, func(m courier.Message) { ... })
+//	err = c.Run(ctx, func(from netip.Addr, m courier.Message) { ... })
 //	c.Spread(courier.Message{News: &news})
 package courier
 
@@ -57,6 +57,8 @@
 	Peers []netip.Addr `cbor:"4,keyasint,omitempty"`
 	// News is what was read from the store.
 	News *tracker.News `cbor:"5,keyasint,omitempty"`
+	// Ask asks the receiver for what it knows.
+	Ask *tracker.Ask `cbor:"7,keyasint,omitempty"`
 	// Judgements are what the sender has seen of targets.
 	Judgements []Judgement `cbor:"6,keyasint,omitempty"`
 }
@@ -95,9 +97,10 @@
 	return &Courier{conn: conn, self: address.Addr(), port: address.Port(), peers: map[netip.Addr]bool{}}, nil
 }
 
-// Run hands every message to a function, until the context ends. Greetings and
+// Run hands every message to a function, until the context ends. From is who
+// sent it last; of news that was passed on, that is not the entry it is from. Greetings and
 // peers are dealt with before.
-func (c *Courier) Run(ctx context.Context, handle func(Message)) error {
+func (c *Courier) Run(ctx context.Context, handle func(from netip.Addr, m Message)) error {
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
 	defer stop()
 	buf := make([]byte, maxDatagram+1)
@@ -125,7 +128,7 @@
 			if m.Hello || m.Bye || len(m.Peers) > 0 {
 				c.meet(from.Addr().Unmap(), m)
 			}
-			handle(m)
+			handle(from.Addr().Unmap(), m)
 		}
 	}
 }
@@ -219,6 +222,16 @@
 	}
 }
 
+// Tell sends a message to one entry.
+func (c *Courier) Tell(to netip.Addr, m Message) { c.send(to, m) }
+
+// TellAny sends a message to some peer, if there is one.
+func (c *Courier) TellAny(m Message) {
+	if peers := c.Peers(); len(peers) > 0 {
+		c.send(peers[rand.IntN(len(peers))], m)
+	}
+}
+
 // Leave tells all peers that the entry is leaving.
 func (c *Courier) Leave() {
 	for _, p := range c.Peers() {
--- a/courier/courier_test.go
+++ b/courier/courier_test.go
@@ -44,7 +44,7 @@
 		}
 		all = append(all, c)
 		running.Go(func() {
-			if err := c.Run(ctx, func(m Message) {
+			if err := c.Run(ctx, func(_ netip.Addr, m Message) {
 				if m.News != nil {
 					heard <- i
 				}
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -169,6 +169,10 @@
 		go g.read(ctx, cmd)
 	case tracker.SpreadCmd:
 		g.courier.Spread(courier.Message{News: &cmd.News})
+	case tracker.AskCmd:
+		g.courier.TellAny(courier.Message{Ask: &cmd.Ask})
+	case tracker.TellCmd:
+		g.courier.Tell(cmd.Peer, courier.Message{News: &cmd.News})
 	case tracker.LogCmd:
 		g.log.WithLevel(cmd.Level).Fields(cmd.Fields).Msg(cmd.Text)
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -144,7 +145,10 @@
 }
 
 // takeNews hands a peer's message on.
-func (g *Gateway) takeNews(m courier.Message) {
+func (g *Gateway) takeNews(from netip.Addr, m courier.Message) {
+	if m.Ask != nil {
+		g.tell(tracker.AskMsg{Peer: from, Ask: *m.Ask})
+	}
 	if m.News != nil {
 		g.tell(tracker.NewsMsg{News: *m.News})
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -433,3 +433,21 @@
 	}
 	<-f.entries[0].ended
 }
+
+// An entry that starts while the store turns it away serves what its peers
+// tell it.
+func TestEntryStartsWithoutTheStore(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	next := f.entries[1].platform.Listen.Addr().Next()
+	f.store.SetFault(func(c standin.Call) standin.Fault {
+		if c.Caller == next.String() {
+			return standin.Busy
+		}
+		return standin.NoFault
+	})
+	late := f.start(next)
+	f.await(late.ready.Load)
+	if got := f.call(late, http.MethodGet, "/safe/", "1", nil); got.status != http.StatusOK {
+		t.Errorf("%+v", got)
+	}
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -168,6 +168,8 @@
 		return m.failRead(msg, now)
 	case NewsMsg:
 		return m.takeNews(msg.News, now)
+	case AskMsg:
+		return m.answer(msg, now)
 	case TickMsg:
 		return append(m.tick(now), m.turns(now)...)
 	}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -87,6 +88,9 @@
 	Next Offset `cbor:"2,keyasint"`
 	// Age is how long ago the store was asked.
 	Age time.Duration `cbor:"3,keyasint"`
+	// Whole is set when the changes are all that holds at Next, whatever was
+	// known before.
+	Whole bool `cbor:"5,keyasint,omitempty"`
 	// Changes are what the records change.
 	Changes []Change `cbor:"4,keyasint,omitempty"`
 }
@@ -167,9 +171,23 @@
 // NewsMsg brings news of a peer.
 type NewsMsg struct{ News News }
 
+// AskMsg is the question of a peer that the store turns away for all that is
+// known of a topic.
+type AskMsg struct {
+	Peer netip.Addr
+	Ask  Ask
+}
+
+// Ask asks for a topic, by an entry that knows it up to an offset.
+type Ask struct {
+	Topic Topic  `cbor:"0,keyasint"`
+	Next  Offset `cbor:"1,keyasint"`
+}
+
 func (ReadMsg) msg()       {}
 func (ReadFailedMsg) msg() {}
 func (NewsMsg) msg()       {}
+func (AskMsg) msg()        {}
 
 // ReadCmd asks for a read of the store.
 type ReadCmd struct {
@@ -182,8 +200,19 @@
 // SpreadCmd asks to tell all peers.
 type SpreadCmd struct{ News News }
 
+// AskCmd asks one peer, in place of the store.
+type AskCmd struct{ Ask Ask }
+
+// TellCmd answers a peer.
+type TellCmd struct {
+	Peer netip.Addr
+	News News
+}
+
 func (ReadCmd) cmd()   {}
 func (SpreadCmd) cmd() {}
+func (AskCmd) cmd()    {}
+func (TellCmd) cmd()   {}
 
 // age is how long a view has not been confirmed.
 func (v *View) age(now time.Time) time.Duration { return now.Sub(v.At) }
@@ -311,7 +340,10 @@
 		return nil
 	}
 	v := &m.Views[n.Topic]
-	if !v.Known || n.Next < v.Next {
+	switch {
+	case n.Whole && (!v.Known || n.Next > v.Next):
+		return m.takeWhole(n, now)
+	case !v.Known || n.Next < v.Next || n.Whole:
 		return nil
 	}
 	if n.From > v.Next {
@@ -338,6 +370,53 @@
 	return cmds
 }
 
+// takeWhole takes all that a peer knows of a topic.
+func (m *Model) takeWhole(n News, now time.Time) []Cmd {
+	v := &m.Views[n.Topic]
+	m.advance(n.Topic, n.Next, now.Add(-n.Age), false, now)
+	v.recent, m.changes[n.Topic] = nil, nil
+	m.extend(n.Topic)
+	var list ListMsg
+	var cmds []Cmd
+	out := map[loader.DataCentreName]bool{}
+	for _, c := range n.Changes {
+		switch msg := c.msg().(type) {
+		case RegisterMsg:
+			list.Registrations = append(list.Registrations, msg.Registration)
+		case EvacuateMsg:
+			out[msg.DataCentre] = msg.Out
+		case ConfigMsg:
+			cmds = append(cmds, m.configure(msg.Config)...)
+		}
+	}
+	if n.Topic == Targets {
+		return append(cmds, m.list(list.Registrations, now)...)
+	}
+	return append(cmds, m.evacuateAll(out)...)
+}
+
+// answer tells a peer all that is known of a topic, if that is news to it.
+func (m *Model) answer(msg AskMsg, now time.Time) []Cmd {
+	t := msg.Ask.Topic
+	if t < 0 || t >= topics || !m.Views[t].Known || m.Views[t].Next < msg.Ask.Next {
+		return nil
+	}
+	n := News{Topic: t, Next: m.Views[t].Next, Age: m.Views[t].age(now), Whole: true}
+	if t == Orders {
+		n.Changes = append(n.Changes, Change{Config: &m.Config})
+		for dc := range m.Out {
+			n.Changes = append(n.Changes, Change{Evacuate: &EvacuateMsg{DataCentre: dc, Out: true}})
+		}
+	} else {
+		for _, target := range m.Targets {
+			if !target.Gone && target.LostAt.IsZero() {
+				n.Changes = append(n.Changes, Change{Register: &target.Registration})
+			}
+		}
+	}
+	return []Cmd{TellCmd{Peer: msg.Peer, News: n}}
+}
+
 // failRead notes that a read failed.
 func (m *Model) failRead(msg ReadFailedMsg, now time.Time) []Cmd {
 	v := &m.Views[msg.Topic]
@@ -347,5 +426,5 @@
 		return []Cmd{m.read(msg.Topic)}
 	}
 	v.PausedUntil = now.Add(failurePause + m.draw(failureSpread))
-	return nil
+	return []Cmd{AskCmd{Ask{Topic: msg.Topic, Next: v.Next}}}
 }
--- a/tracker/view_test.go
+++ b/tracker/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	down  func(entry int) bool
 	lost  func() bool
 	reads int
+	// asked counts the questions to peers; each goes to another one.
+	asked int
 	// pending holds what happens later.
 	pending []event
 	// slow is how long the store takes to answer.
@@ -51,6 +54,10 @@
 	return r
 }
 
+// address is an entry's address, and entryOf the entry at it.
+func address(entry int) netip.Addr   { return netip.AddrFrom4([4]byte{10, 0, 0, byte(entry)}) }
+func entryOf(address netip.Addr) int { return int(address.As4()[3]) }
+
 // step lets 10 ms pass.
 func (r *readers) step() {
 	r.now = r.now.Add(10 * time.Millisecond)
@@ -76,6 +83,16 @@
 		case ReadCmd:
 			r.reads++
 			r.pending = append(r.pending, event{r.now.Add(r.slow()), entry, r.read(entry, cmd)})
+		case AskCmd:
+			if n := len(r.models); n > 1 && !r.lost() {
+				to := (entry + 1 + r.asked%(n-1)) % n
+				r.asked++
+				r.pending = append(r.pending, event{r.now.Add(delay), to, AskMsg{Peer: address(entry), Ask: cmd.Ask}})
+			}
+		case TellCmd:
+			if !r.lost() {
+				r.pending = append(r.pending, event{r.now.Add(delay), entryOf(cmd.Peer), NewsMsg{cmd.News}})
+			}
 		case SpreadCmd:
 			for i := range r.models {
 				if i != entry && !r.lost() {
@@ -222,3 +239,27 @@
 		}
 	})
 }
+
+// An entry that starts while the store turns it away gets all from its peers.
+func TestPeersTellANewcomer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 20).Draw(t, "entries")
+		r := newReaders(t, n)
+		newcomer := r.models[0]
+		newcomer.Config = router.Config{}
+		r.down = func(entry int) bool { return entry == 0 }
+		r.models[1].Out["away"] = true
+		for _, m := range r.models[1:] {
+			m.Out = map[loader.DataCentreName]bool{"away": true}
+			m.Views[Orders] = View{Known: true, Next: 7, At: r.now}
+		}
+		r.records = []Msg{RegisterMsg{registration("a", 1, 1, loader.Active)}, RegisterMsg{registration("b", 1, 1, loader.Draining)}}
+		r.run(4 * time.Second)
+		if newcomer.Config.Version != 1 || !newcomer.Listed || !newcomer.Out["away"] {
+			t.Fatalf("knows version %d, listed %v, out %v", newcomer.Config.Version, newcomer.Listed, newcomer.Out)
+		}
+		if got := placed(newcomer); !got["a"] || got["b"] {
+			t.Fatalf("sends to %v", got)
+		}
+	})
+}
