--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -157,8 +157,11 @@
 // OperatorsAddr returns the address of the operator endpoint.
 func (b *Balancer) OperatorsAddr() net.Addr { return b.operators.Addr() }
 
-// Ready tells whether the entry has a configuration and wants calls.
-func (b *Balancer) Ready() bool { return b.loop.Model().Phase == controller.Serving }
+// Ready tells whether the entry has a configuration and wants calls. The
+// control goroutine knows of a configuration a moment before calls can use it.
+func (b *Balancer) Ready() bool {
+	return b.loop.Model().Phase == controller.Serving && b.forwarder.Revision() > 0
+}
 
 func (b *Balancer) listen() error {
 	var err error
--- a/balancer/operator.go
+++ b/balancer/operator.go
@@ -103,11 +103,10 @@
 
 // serveReady answers 200 while the entry wants calls, else 503.
 func (b *Balancer) serveReady(w http.ResponseWriter, _ *http.Request) {
-	phase := b.loop.Model().Phase
-	if phase != controller.Serving {
+	if !b.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	_, _ = w.Write([]byte(phase.String() + "\n"))
+	_, _ = w.Write([]byte(b.loop.Model().Phase.String() + "\n"))
 }
 
 func (b *Balancer) serveMetrics(w http.ResponseWriter, _ *http.Request) {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,13 +32,14 @@
 	// shareSettling that while the fleet's shares are changing.
 	shareInterval = 4 * time.Second
 	shareSettling = 700 * time.Millisecond
-	// shareTopics is the number of topics whose partitions are divided, so
-	// that even a large fleet has several partitions for each entry.
-	shareTopics = 1
+	// shareTopics is the number of topics whose partitions are divided. With
+	// 24 partitions each, that is one at least for each of 240 entries; the
+	// platform allows 100 topics.
+	shareTopics = 10
 	// shareGroup is the group that divides them.
 	shareGroup = "entries"
-	// shareTopic is the topic whose partitions are the fleet's shares.
-	shareTopic = "shares"
+	// shareTopic begins the names of the topics.
+	shareTopic = "shares-"
 )
 
 // storeTopics are the names of the topics in the store.
@@ -172,12 +174,25 @@
 	}
 }
 
+// shareTopicNames returns the topics whose partitions are shares, and the place
+// of each among them.
+func shareTopicNames() (names []string, places map[string]int) {
+	places = map[string]int{}
+	for i := range shareTopics {
+		name := shareTopic + strconv.Itoa(i)
+		names = append(names, name)
+		places[name] = i
+	}
+	return names, places
+}
+
 // keepShare keeps the entry's share of the fleet.
 func (g *Gateway) keepShare(ctx context.Context) {
+	topics, places := shareTopicNames()
 	var last platform.Membership
 	for ctx.Err() == nil {
 		asked := time.Now()
-		m, err := g.store.Join(ctx, shareGroup, string(g.platform.Name), shareTopic, shareTTL, last.Generation)
+		m, err := g.store.Join(ctx, shareGroup, string(g.platform.Name), topics, shareTTL, last.Generation)
 		if ctx.Err() != nil {
 			return
 		}
@@ -186,7 +201,11 @@
 			sleep(ctx, jitter(retryPause))
 			continue
 		}
-		g.tell(tracker.ShareMsg{Total: g.platform.Store.Partitions * shareTopics, Owned: m.Partitions, Until: asked.Add(shareTTL)})
+		share := tracker.ShareMsg{Total: g.platform.Store.Partitions * shareTopics, Until: asked.Add(shareTTL)}
+		for _, p := range m.Partitions {
+			share.Owned = append(share.Owned, places[p.Topic]*g.platform.Store.Partitions+p.Number)
+		}
+		g.tell(share)
 		pause := shareInterval
 		if m.Generation != last.Generation {
 			pause = shareSettling
