--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -169,7 +170,7 @@
 	for pause := firstGreetings; ctx.Err() == nil; pause = min(2*pause, greetings) {
 		known := g.courier.Peers()
 		rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
-		g.courier.Greet(append(g.platform.Seeds, known[:min(greeted, len(known))]...))
+		g.courier.Greet(slices.Concat(g.platform.Seeds, known[:min(greeted, len(known))]))
 		sleep(ctx, jitter(pause))
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -78,7 +78,7 @@
 	f.t.Helper()
 	e := &entry{ended: make(chan struct{})}
 	e.Gateway = New(platform.Settings{
-		Name: "entry", DataCentre: "home", DataCentres: 1,
+		Name: "entry", DataCentre: "home",
 		Listen:    netip.AddrPortFrom(ip, callerPort),
 		Readiness: netip.AddrPortFrom(ip, readinessPort),
 		PeerPorts: [2]uint16{peerPort, peerPort},
@@ -151,13 +151,10 @@
 }
 
 func (f *fleet) callWith(ctx context.Context, e *entry, method, path, id string, body []byte) reply {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.platform.Listen.String()+path, bytes.NewReader(body))
+	r, err := standin.NewRequest(ctx, method, "http://"+e.platform.Listen.String()+path, "a.example", id, 2500*time.Millisecond, body)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	r.Host = "a.example"
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Request-Deadline", "2500")
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	resp, err := client.Do(r)
@@ -221,7 +218,7 @@
 			t.Errorf("%s: %+v", c.path, got)
 			continue
 		}
-		seal := got.header.Get("Response-Seal")
+		seal := standin.Seal(got.header)
 		target, _, _ := strings.Cut(seal, ".")
 		if want := fmt.Sprintf("%s %s %s %d", target, id, c.path, len(c.body)); got.body != want || !strings.HasSuffix(seal, "."+id) {
 			t.Errorf("%s: got %q sealed %q, want %q", c.path, got.body, seal, want)
@@ -269,7 +266,7 @@
 			if got.status < 500 || promisesNotRun(got.status) {
 				t.Errorf("%s: %+v", id, got)
 			}
-			if sealed := got.header.Get("Response-Seal") != ""; sealed != (b == standin.Fail) {
+			if sealed := standin.Seal(got.header) != ""; sealed != (b == standin.Fail) {
 				t.Errorf("%s: sealed is %v: %+v", id, sealed, got)
 			}
 		}
@@ -287,7 +284,7 @@
 			target.SetBehaviour(func(r *http.Request) standin.Behaviour {
 				mu.Lock()
 				defer mu.Unlock()
-				id := r.Header.Get("Request-Id")
+				id := standin.ID(r)
 				if !seen[id] {
 					seen[id] = true
 					return b
@@ -360,8 +357,7 @@
 		if r.URL.Path == "/health" {
 			return
 		}
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		w.Header().Set("Response-Seal", "s")
+		standin.SealAnswer(w.Header(), r, "s")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	defer srv.Close()
@@ -371,7 +367,7 @@
 	f.store.PutJSON(platform.TargetTopic, "x", other)
 	f.await(func() bool {
 		got := f.call(f.entries[0], http.MethodPost, "/unsafe/", "1", nil)
-		return got.status == http.StatusBadGateway && got.header.Get("Response-Seal") == ""
+		return got.status == http.StatusBadGateway && standin.Seal(got.header) == ""
 	})
 }
 
