savoryctl explain tells what became of a request

Cause: finding a request's cause meant reading JSON of several entries by eye. Conclusion: an id leads to its cause with one command.

--- a/savoryctl/main.go
+++ b/savoryctl/main.go
@@ -44,6 +44,7 @@
 	Drain    drainCmd    `cmd:"" help:"Take a data centre out of service. Example: savoryctl drain Hobart --log http://10.0.0.7:7000"`
 	Restore  restoreCmd  `cmd:"" help:"Bring a data centre back into service. Example: savoryctl restore Hobart --log http://10.0.0.7:7000"`
 	Dump     dumpCmd     `cmd:"" help:"Print the whole state of an entry. Example: savoryctl dump --entry 10.0.0.11:9100"`
+	Explain  explainCmd  `cmd:"" help:"Tell what became of a request, from the logs of entries. Example: savoryctl explain 8ee8e4150766564d entries.log"`
 }
 
 func main() {
