One run group for both kinds of entry

Cause: gateway and balancer each had the run group's task, the framework's silenced logger, the logger for servers and the signal that never arrives, word for word. Change: runner holds them once; no behaviour changes. Conclusion: what the two paths share is in one place.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -26,6 +26,7 @@
 	"savoryroad.dev/forwarder"
 	"savoryroad.dev/loader"
 	"savoryroad.dev/recorder"
+	"savoryroad.dev/runner"
 )
 
 const (
@@ -96,7 +97,7 @@
 		released: make(chan struct{}),
 		started:  time.Now(),
 		seed:     rand.Uint64(),
-		signals:  []os.Signal{noSignal{}},
+		signals:  []os.Signal{runner.NoSignal{}},
 	}
 	for _, opt := range opts {
 		opt(b)
@@ -125,7 +126,7 @@
 		b.close()
 		return nil, err
 	}
-	quietFramework()
+	runner.QuietFramework()
 	b.app = kratos.New(
 		kratos.Name("savoryroad"),
 		kratos.ID(string(s.Name)),
@@ -189,13 +190,13 @@
 	return []transport.Server{
 		drainedServer{Server: callers, drained: b.drained, abort: b.abort, logger: b.logger},
 		lastServer{Server: b.operatorServer(), after: b.drained},
-		newTask(b.released, b.loop.Run),
-		newTask(b.released, func(ctx context.Context) error {
+		runner.NewTask(b.released, b.loop.Run),
+		runner.NewTask(b.released, func(ctx context.Context) error {
 			return controller.Follow(ctx, b.log, b.loop)
 		}),
-		newTask(b.released, b.peers.run),
-		newTask(b.released, b.pollVMs),
-		newTask(nil, b.release),
+		runner.NewTask(b.released, b.peers.run),
+		runner.NewTask(b.released, b.pollVMs),
+		runner.NewTask(nil, b.release),
 	}, nil
 }
 
@@ -223,7 +224,7 @@
 	srv.Protocols = protocols
 	srv.ReadHeaderTimeout = b.settings.HeaderTimeout
 	srv.IdleTimeout = b.settings.IdleTimeout
-	srv.ErrorLog = discardLogger()
+	srv.ErrorLog = runner.DiscardLogger()
 	return srv, nil
 }
 
--- a/balancer/operator.go
+++ b/balancer/operator.go
@@ -11,6 +11,7 @@
 	"savoryroad.dev/forwarder"
 	"savoryroad.dev/loader"
 	"savoryroad.dev/publisher"
+	"savoryroad.dev/runner"
 )
 
 // Status is the short report at /status.
@@ -68,7 +69,7 @@
 		khttp.Filter(func(http.Handler) http.Handler { return mux }),
 	)
 	srv.ReadHeaderTimeout = b.settings.HeaderTimeout
-	srv.ErrorLog = discardLogger()
+	srv.ErrorLog = runner.DiscardLogger()
 	return srv
 }
 
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
-	stdlog "log"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	kratoslog "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rs/zerolog"
 
@@ -63,32 +59,6 @@
 	return nil
 }
 
-// task is a goroutine of the run group.
-type task struct {
-	// after is closed when the task may end; nil means at once.
-	after  <-chan struct{}
-	run    func(context.Context) error
-	ctx    context.Context
-	cancel context.CancelFunc
-}
-
-func newTask(after <-chan struct{}, run func(context.Context) error) task {
-	ctx, cancel := context.WithCancel(context.Background())
-	return task{after: after, run: run, ctx: ctx, cancel: cancel}
-}
-
-// Start runs the task until Stop.
-func (t task) Start(context.Context) error { return t.run(t.ctx) }
-
-// Stop ends the task.
-func (t task) Stop(context.Context) error {
-	if t.after != nil {
-		<-t.after
-	}
-	t.cancel()
-	return nil
-}
-
 // release waits, once the callers are drained, until this entry has given its
 // shares away, or until the time for that is over.
 func (b *Balancer) release(context.Context) error {
@@ -133,26 +103,3 @@
 		NextProtos:   []string{"h2", "http/1.1"},
 	}, nil
 }
-
-// quietFramework silences the framework's logger, which all entries of a
-// process share, once.
-var quietFramework = sync.OnceFunc(func() { kratoslog.SetLogger(quietLogger{}) })
-
-// quietLogger drops the application framework's lines; the entry writes its
-// own.
-type quietLogger struct{}
-
-// Log drops the line.
-func (quietLogger) Log(kratoslog.Level, ...any) error { return nil }
-
-func discardLogger() *stdlog.Logger { return stdlog.New(io.Discard, "", 0) }
-
-// noSignal is a signal that never arrives. The application framework needs at
-// least one, since an empty list would mean every signal.
-type noSignal struct{}
-
-// String names the signal.
-func (noSignal) String() string { return "none" }
-
-// Signal marks the type as a signal.
-func (noSignal) Signal() {}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,20 +11,16 @@
 
 import (
 	"context"
-	"io"
-	stdlog "log"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kratos/kratos/v2"
-	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rcrowley/go-metrics"
@@ -35,6 +31,7 @@
 	"savoryroad.dev/platform"
 	"savoryroad.dev/rationer"
 	"savoryroad.dev/recorder"
+	"savoryroad.dev/runner"
 	"savoryroad.dev/tracker"
 )
 
@@ -131,9 +128,9 @@
 
 // Run serves until a signal or the end of the context.
 func (g *Gateway) Run(ctx context.Context, signals ...os.Signal) error {
-	quietFramework()
+	runner.QuietFramework()
 	if len(signals) == 0 {
-		signals = []os.Signal{noSignal{}}
+		signals = []os.Signal{runner.NoSignal{}}
 	}
 	var err error
 	peers := netip.AddrPortFrom(g.platform.Listen.Addr(), g.platform.PeerPorts[0])
@@ -151,11 +148,11 @@
 	servers := []transport.Server{
 		&drainingServer{Server: callers, g: g},
 		readiness,
-		newTask(g.drained, g.control),
-		newTask(g.drained, g.listen),
-		newTask(g.drained, g.greet),
-		newTask(g.drained, g.keepShare),
-		newTask(g.drained, g.watchSettings),
+		g.task(g.control),
+		g.task(g.listen),
+		g.task(g.greet),
+		g.task(g.keepShare),
+		g.task(g.watchSettings),
 	}
 	if g.tuning.Operator != 0 {
 		at := netip.AddrPortFrom(g.platform.Listen.Addr(), uint16(g.tuning.Operator))
@@ -225,7 +222,7 @@
 	srv.MaxHeaderBytes = defaultHeaderBytes
 	srv.ReadHeaderTimeout = defaultHeaderTimeout
 	srv.IdleTimeout = defaultIdleTimeout
-	srv.ErrorLog = stdlog.New(io.Discard, "", 0)
+	srv.ErrorLog = runner.DiscardLogger()
 	return srv, nil
 }
 
@@ -247,51 +244,10 @@
 	return nil
 }
 
-// task is a goroutine of the run group.
-type task struct {
-	// after is closed when the task may end.
-	after  <-chan struct{}
-	run    func(context.Context)
-	ctx    context.Context
-	cancel context.CancelFunc
-}
-
-func newTask(after <-chan struct{}, run func(context.Context)) *task {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &task{after: after, run: run, ctx: ctx, cancel: cancel}
-}
-
-// Start runs the task until Stop.
-func (t *task) Start(context.Context) error {
-	t.run(t.ctx)
-	return nil
-}
-
-// Stop waits until the task may end, and ends it.
-func (t *task) Stop(context.Context) error {
-	<-t.after
-	t.cancel()
-	return nil
+// task returns a goroutine of the run group that ends after the last request.
+func (g *Gateway) task(run func(context.Context)) *runner.Task {
+	return runner.NewTask(g.drained, func(ctx context.Context) error {
+		run(ctx)
+		return nil
+	})
 }
-
-var _ transport.Server = (*task)(nil)
-
-// noSignal is a signal that never arrives. The framework needs at least one,
-// since an empty list would mean every signal.
-type noSignal struct{}
-
-// String names the signal.
-func (noSignal) String() string { return "none" }
-
-// Signal marks the type as a signal.
-func (noSignal) Signal() {}
-
-// quietFramework silences the framework's logger, which all entries of a
-// process share, once.
-var quietFramework = sync.OnceFunc(func() { kratoslog.SetLogger(quietLogger{}) })
-
-// quietLogger drops the framework's lines; the entry writes its own.
-type quietLogger struct{}
-
-// Log drops the line.
-func (quietLogger) Log(kratoslog.Level, ...any) error { return nil }
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -72,8 +72,8 @@
 	recent []Offset
 }
 
-// ReadMsg brings what a read found. Records is nil after a whole read of
-// targets, which brings a ListMsg.
+// ReadMsg brings what a read found: Msgs after a whole read, Records after any
+// other.
 type ReadMsg struct {
 	Topic Topic
 	// Full is set when the topic was read whole.
