Tell all entries of targets that return after an outage of the store

The store came back after 4 s, 33 of 47 targets registered again within 2 s, and every entry but the one that read of it let go of them: a registration that differs from the former in nothing but its return made no change, so it was left out of the news. An entry also gave up waiting 2 s after the outage by its clock, though its view was up to 0.7 s older. Change: a return is a change, with its line in the log; only a view that was made 2 s after the outage tells which targets are gone. TestPropertyLapsedTargetsAreKeptIfTheyReturn failed on its first case before. TestLapsedRegistrationIsWaitedFor asked for the end by the clock alone; it now asks for both sides: kept until a view from after the time to come back, let go with it. Conclusion: news must hold whatever changes the model, not what looks different.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -227,7 +227,7 @@
 		t.ColdUntil = now.Add(r.WarmupLeft)
 	}
 	m.Targets[r.Name] = t
-	same := sameStart && !known.Gone && known.State == r.State && known.Service == r.Service &&
+	same := sameStart && known.LostAt.IsZero() && known.State == r.State && known.Service == r.Service &&
 		known.Address == r.Address && known.DataCentre == r.DataCentre && known.Slots == r.Slots
 	if same {
 		return nil, t.ColdUntil.After(known.ColdUntil)
@@ -244,15 +244,16 @@
 		return nil
 	}
 	t.LostAt = now
-	t.Gone = !m.excused(now)
+	t.Gone = !m.excused()
 	m.Targets[name] = t
 	return []Cmd{m.place(), info("target unregistered", map[string]any{"Target": name, "Service": t.Service, "Gone": t.Gone})}
 }
 
 // excused tells whether registrations may be missing because of an outage of
-// the store. The targets then come back a little after it.
-func (m *Model) excused(now time.Time) bool {
-	return !m.ReturnedAt.IsZero() && now.Before(m.ReturnedAt.Add(returnTime))
+// the store. The targets have returnTime to come back, and only a view that was
+// made after it can tell which of them did not.
+func (m *Model) excused() bool {
+	return !m.ReturnedAt.IsZero() && m.Views[Targets].At.Before(m.ReturnedAt.Add(returnTime))
 }
 
 func (m *Model) list(all []placer.Registration, now time.Time) []Cmd {
@@ -304,7 +305,7 @@
 	for name, t := range m.Targets {
 		switch {
 		case t.LostAt.IsZero():
-		case !t.Gone && !m.excused(now):
+		case !t.Gone && !m.excused():
 			t.Gone = true
 			m.Targets[name] = t
 			changed = true
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -107,7 +107,16 @@
 	if !placed(m)["a"] {
 		t.Fatal("a registration that lapsed during the outage counts at once")
 	}
-	m.Update(TickMsg{}, back.Add(returnTime+time.Millisecond))
+	// What the store held a moment before the time was over proves nothing.
+	early := back.Add(returnTime - time.Millisecond)
+	m.Update(ReadMsg{Topic: Targets, Next: 2, Asked: early}, early)
+	late := back.Add(returnTime + 500*time.Millisecond)
+	m.Update(TickMsg{}, late)
+	if !placed(m)["a"] {
+		t.Error("a target counts as gone by what was read before its time to come back was over")
+	}
+	m.Update(ReadMsg{Topic: Targets, Next: 2, Asked: back.Add(returnTime)}, late)
+	m.Update(TickMsg{}, late)
 	if placed(m)["a"] {
 		t.Error("a target that did not come back still gets requests")
 	}
--- a/tracker/view_test.go
+++ b/tracker/view_test.go
@@ -240,6 +240,55 @@
 	})
 }
 
+// Registrations that lapse during an outage are back within 2 s of its end. All
+// entries keep the targets that came back, whoever read of their return, and
+// let go of those that did not.
+func TestPropertyLapsedTargetsAreKeptIfTheyReturn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "entries")
+		r := newReaders(t, n)
+		const targets = 6
+		name := func(i int) string { return fmt.Sprintf("t%d", i) }
+		for i := range targets {
+			r.records = append(r.records, RegisterMsg{registration(name(i), 1, 1, loader.Active)})
+		}
+		r.run(2 * time.Second)
+		r.down = func(int) bool { return true }
+		r.run(time.Duration(rapid.IntRange(4, 8).Draw(t, "outage")) * time.Second)
+		r.down = func(int) bool { return false }
+		for i := range targets {
+			r.records = append(r.records, UnregisterMsg{loader.TargetName(name(i))})
+		}
+		const step = 100 * time.Millisecond
+		returns := make([]int, targets)
+		for i := range returns {
+			// Steps after the outage; beyond 2 s the target is lost for good.
+			returns[i] = rapid.IntRange(0, 24).Draw(t, "return")
+		}
+		for now := range 20 {
+			for i, at := range returns {
+				if at == now {
+					r.records = append(r.records, RegisterMsg{registration(name(i), 1, 2, loader.Active)})
+				}
+			}
+			r.run(step)
+			for i, m := range r.models {
+				if got := len(placed(m)); got != targets {
+					t.Fatalf("entry %d has %d targets %v after the outage", i, got, time.Duration(now+1)*step)
+				}
+			}
+		}
+		r.run(2 * time.Second)
+		for i, m := range r.models {
+			for j, at := range returns {
+				if got, want := placed(m)[loader.TargetName(name(j))], at < 20; got != want {
+					t.Fatalf("entry %d of %d: %s, which came back after %d steps, gets requests: %v", i, n, name(j), at, got)
+				}
+			}
+		}
+	})
+}
+
 // An entry that starts while the store turns it away gets all from its peers.
 func TestPeersTellANewcomer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
