Try routes of which nothing is measured yet

A refusal measures nothing, so the presumption stayed. Change: a new route is presumed to take as long as the service's shortest other one, and half of the time left at most. TestChooseTriesANewRoute failed before, with and without measured routes beside it. Conclusion: presumptions may rank targets; they are no ground for a refusal.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -87,7 +87,7 @@
 func (s *Service) expect(t *Target, d Demand, now time.Time) time.Duration {
 	work, ok := s.work[d.Route]
 	if !ok {
-		work = d.Work.Seconds()
+		work = s.presume(d)
 		s.work[d.Route] = work
 	}
 	if !t.reportedAt.IsZero() {
@@ -106,6 +106,18 @@
 	return time.Duration((wait + work) * float64(time.Second))
 }
 
+// presume returns how long requests of a route take of which none was measured:
+// as long as the service's other requests, in seconds. The least of them is
+// taken, and at most half of the time left, since a route that is never tried
+// is never measured.
+func (s *Service) presume(d Demand) float64 {
+	work := min(d.Work, d.Deadline/2).Seconds()
+	for _, other := range s.work {
+		work = min(work, other)
+	}
+	return work
+}
+
 // cost weighs a target, in lost answers.
 func (s *Service) cost(t *Target, d Demand, expected time.Duration, now time.Time) float64 {
 	left := d.Objective
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -107,6 +107,27 @@
 	}
 }
 
+// A route of which nothing is known yet is tried, though its callers wait for
+// less than its objective: a refusal would teach nothing about it.
+func TestChooseTriesANewRoute(t *testing.T) {
+	for _, measured := range []bool{false, true} {
+		s, targets := fleet(1, 0)
+		target := targets["t0"]
+		s.Report(target, idle(1), now)
+		if measured {
+			s.Choose([]*Target{target}, demand(), now)
+		}
+		d := Demand{Route: "new", Objective: time.Second, Deadline: 390 * time.Millisecond, Work: 400 * time.Millisecond}
+		got := s.Choose([]*Target{target}, d, now)
+		if got.Target != target {
+			t.Errorf("other routes measured: %v; refused, expecting %v", measured, got.Least)
+		}
+		if measured && got.Expected != demand().Work {
+			t.Errorf("expects %v, though the service's requests take %v", got.Expected, demand().Work)
+		}
+	}
+}
+
 // A target never holds more requests than its slots and as many again, as far
 // as its own reports and this entry's sends tell.
 func TestPropertyTargetIsNeverOverfull(t *testing.T) {
