Take turns at trying a store that is away

Change: an entry that has found the store away says so when it tries again, and the others that found the same begin their pause anew. News with a gap ends the pause, since it shows that somebody reaches the store. Both halves have a test that failed: TestTriesDuringAnOutageDoNotGrowWithTheFleet, TestPropertyLongConfigurationIsKnownAfterAnOutage. Messages of experience with targets, which nothing sent any more, are gone. Conclusion: a fleet's tries need the same turns as its reads.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -24,7 +24,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
-	"savoryroad.dev/loader"
 	"savoryroad.dev/tracker"
 )
 
@@ -59,19 +58,6 @@
 	News *tracker.News `cbor:"5,keyasint,omitempty"`
 	// Ask asks the receiver for what it knows.
 	Ask *tracker.Ask `cbor:"7,keyasint,omitempty"`
-	// Judgements are what the sender has seen of targets.
-	Judgements []Judgement `cbor:"6,keyasint,omitempty"`
-}
-
-// Judgement is what an entry has seen of one target lately.
-type Judgement struct {
-	Service loader.ServiceName `cbor:"0,keyasint"`
-	Target  loader.TargetName  `cbor:"1,keyasint"`
-	// Failing is the part of the requests that failed, from 0 to 1.
-	Failing float64 `cbor:"2,keyasint"`
-	// Slowness is the time that requests took, as a multiple of what was
-	// expected.
-	Slowness float64 `cbor:"3,keyasint"`
 }
 
 // Courier sends and receives messages. It is safe for use by several
@@ -188,6 +174,13 @@
 	return peers
 }
 
+// Count returns how many peers are known.
+func (c *Courier) Count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.peers)
+}
+
 // Spread sends a message to all peers, along a tree that is drawn anew for
 // each frame: every receiver passes it on to its part of the others. So no
 // entry sends more than a few copies, and the loss of an entry does not cut
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -114,7 +114,7 @@
 			return
 		case msg = <-g.messages:
 		case <-ticker.C:
-			msg = tracker.TickMsg{}
+			msg = tracker.TickMsg{Peers: g.courier.Count()}
 			if now := time.Now(); now.Sub(expired) >= expiryInterval {
 				expired = now
 				for _, s := range g.board.Load().services {
--- a/tracker/news.go
+++ b/tracker/news.go
@@ -21,6 +21,9 @@
 	// Whole is set when the changes are all that holds at Next, whatever was
 	// known before.
 	Whole bool `cbor:"5,keyasint,omitempty"`
+	// Trying is set when the sender tries the store again after a failure.
+	// Nothing else is then told.
+	Trying bool `cbor:"6,keyasint,omitempty"`
 	// Changes are what the records change.
 	Changes []Change `cbor:"4,keyasint,omitempty"`
 }
@@ -148,13 +151,21 @@
 	}
 	v := &m.Views[n.Topic]
 	switch {
+	case n.Trying:
+		if v.failing() && !v.Reading {
+			spread := min(max(failureSpread, time.Duration(m.Peers)*peerSpread), maxSpread)
+			v.PausedUntil = now.Add(failurePause + m.draw(spread))
+		}
+		return nil
 	case n.Whole && (!v.Known || n.Next > v.Next):
 		return m.takeWhole(n, now)
 	case !v.Known || n.Next < v.Next || n.Whole:
 		return nil
 	}
 	if n.From > v.Next {
-		if v.Reading || !now.After(v.PausedUntil) {
+		// Somebody reaches the store, so this entry needn't wait for its turn at
+		// trying it. It may still be turned away itself.
+		if v.Reading || now.Before(v.FailedAt.Add(failurePause)) {
 			return nil
 		}
 		v.Mine = false
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -47,6 +47,8 @@
 	ReturnedAt time.Time
 	// Away is set during an outage of the store, as far as it is known.
 	Away bool
+	// Peers is how many other entries are known.
+	Peers int
 
 	// changes holds the latest changes of each topic, for the peers.
 	changes [topics][]Change
@@ -105,7 +107,10 @@
 }
 
 // TickMsg lets time pass.
-type TickMsg struct{}
+type TickMsg struct {
+	// Peers is how many other entries are known.
+	Peers int
+}
 
 func (ConfigMsg) msg()     {}
 func (EvacuateMsg) msg()   {}
@@ -171,6 +176,7 @@
 	case AskMsg:
 		return m.answer(msg, now)
 	case TickMsg:
+		m.Peers = msg.Peers
 		return append(m.tick(now), m.turns(now)...)
 	}
 	return nil
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -6,7 +6,9 @@
 // large fleet asks for the same records. So entries take turns: whoever reads
 // tells the others, and an entry reads by itself only when its view has become
 // too old. The entry that read last goes first the next time. When its news
-// stops, one of the others reads instead, after a time drawn by chance.
+// stops, one of the others reads instead, after a time drawn by chance. While
+// the store is away, entries that have found so for themselves take turns at
+// trying it: whoever tries says so, and the others begin their pause anew.
 const (
 	// readInterval is how old a view gets before the entry that made it reads
 	// again. A change must be in force, and a leaving target be spared, within
@@ -21,6 +23,11 @@
 	// of all.
 	failurePause  = 300 * time.Millisecond
 	failureSpread = 1000 * time.Millisecond
+	// peerSpread widens that range with each peer for an entry that hears one
+	// of them try, up to maxSpread: so one or two entries try before the word
+	// of the first has reached the rest, 10 ms later.
+	peerSpread = 17 * time.Millisecond
+	maxSpread  = 2000 * time.Millisecond
 	// targetNews and orderNews are how many reads the news of a topic covers:
 	// with 2, a lost datagram does no harm if the next one arrives. Orders are
 	// long; an entry that missed one reads the store.
@@ -68,6 +75,9 @@
 	Turn time.Duration
 	// PausedUntil is when the next read may begin after one that failed.
 	PausedUntil time.Time
+	// FailedAt is when a read of this entry failed; zero once the view has been
+	// confirmed again, by whomever.
+	FailedAt time.Time
 	// recent holds the offsets of the latest reads, the oldest first.
 	recent []Offset
 }
@@ -118,6 +128,10 @@
 // age is how long a view has not been confirmed.
 func (v *View) age(now time.Time) time.Duration { return now.Sub(v.At) }
 
+// failing tells whether this entry's latest read failed, and nothing has been
+// heard since.
+func (v *View) failing() bool { return !v.FailedAt.IsZero() }
+
 // turns begins the reads whose turn it is.
 func (m *Model) turns(now time.Time) []Cmd {
 	var cmds []Cmd
@@ -125,6 +139,9 @@
 		v := &m.Views[t]
 		if !v.Reading && now.After(v.PausedUntil) && (!v.Known || v.age(now) >= v.Turn) {
 			cmds = append(cmds, m.read(t))
+			if v.failing() {
+				cmds = append(cmds, SpreadCmd{News{Topic: t, Trying: true}})
+			}
 		}
 	}
 	return cmds
@@ -147,7 +164,7 @@
 	if at.After(v.At) {
 		v.At = at
 	}
-	v.PausedUntil = time.Time{}
+	v.PausedUntil, v.FailedAt = time.Time{}, time.Time{}
 	v.Turn = readInterval
 	if !mine {
 		v.Turn += takeOverAfter + m.draw(takeOverSpread)
@@ -205,6 +222,6 @@
 		v.Known = false
 		return []Cmd{m.read(msg.Topic)}
 	}
-	v.PausedUntil = now.Add(failurePause + m.draw(failureSpread))
+	v.PausedUntil, v.FailedAt = now.Add(failurePause+m.draw(failureSpread)), now
 	return []Cmd{AskCmd{Ask{Topic: msg.Topic, Next: v.Next}}}
 }
--- a/tracker/view_test.go
+++ b/tracker/view_test.go
@@ -20,8 +20,8 @@
 	t      *rapid.T
 	now    time.Time
 	models []*Model
-	// records holds the store's records of targets.
-	records []Msg
+	// records holds the store's records of targets, orders those of operators.
+	records, orders []Msg
 	// down tells whether the store refuses an entry, lost whether a datagram
 	// is lost.
 	down  func(entry int) bool
@@ -73,7 +73,7 @@
 	}
 	r.pending = append(later, r.pending...)
 	for i, m := range r.models {
-		r.carryOut(i, m.Update(TickMsg{}, r.now))
+		r.carryOut(i, m.Update(TickMsg{Peers: len(r.models) - 1}, r.now))
 	}
 }
 
@@ -108,16 +108,21 @@
 		return ReadFailedMsg{Topic: cmd.Topic}
 	}
 	msg := ReadMsg{Topic: cmd.Topic, Full: cmd.Full, Asked: r.now}
+	records := r.records
 	if cmd.Topic == Orders {
-		return msg
+		records = r.orders
 	}
-	msg.Next = Offset(len(r.records))
+	msg.Next = Offset(len(records))
 	if !cmd.Full {
-		for i := int(cmd.From); i < len(r.records); i++ {
-			msg.Records = append(msg.Records, ReadRecord{Offset: Offset(i), Msg: r.records[i]})
+		for i := int(cmd.From); i < len(records); i++ {
+			msg.Records = append(msg.Records, ReadRecord{Offset: Offset(i), Msg: records[i]})
 		}
 		return msg
 	}
+	if cmd.Topic == Orders {
+		msg.Msgs = r.orders[max(0, len(r.orders)-1):]
+		return msg
+	}
 	newest := map[loader.TargetName]placer.Registration{}
 	for _, one := range r.records {
 		switch one := one.(type) {
@@ -289,6 +294,62 @@
 	})
 }
 
+// manyRoutes returns a configuration of many routes, whose first ones differ
+// from version to version.
+func manyRoutes(version router.Version) router.Config {
+	cfg := router.Config{Version: version, Routes: map[loader.RouteName]router.Route{}, Services: map[loader.ServiceName]router.Service{"s": {}}}
+	for i := range 120 {
+		name := loader.RouteName(fmt.Sprint("r", i))
+		route := router.Route{Name: name, Timeout: time.Second}
+		if i < 5 {
+			route.Timeout = time.Duration(version)
+		}
+		cfg.Routes[name] = route
+	}
+	return cfg
+}
+
+// A long configuration that is written as an outage ends is in force
+// everywhere within 2 s, whoever tried the store when.
+func TestPropertyLongConfigurationIsKnownAfterAnOutage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 120).Draw(t, "entries")
+		r := newReaders(t, n)
+		r.orders = []Msg{ConfigMsg{manyRoutes(2)}}
+		r.run(3 * time.Second)
+		r.down = func(int) bool { return true }
+		r.run(time.Duration(rapid.IntRange(1000, 8000).Draw(t, "outage")) * time.Millisecond)
+		r.down = func(int) bool { return false }
+		r.orders = append(r.orders, ConfigMsg{manyRoutes(5)})
+		r.run(2 * time.Second)
+		for i, m := range r.models {
+			if m.Config.Version != 5 {
+				t.Fatalf("entry %d of %d has version %d 2 s after the outage: %+v", i, n, m.Config.Version, m.Views[Orders])
+			}
+		}
+	})
+}
+
+// While the store is away from all, what the fleet asks of it does not grow with
+// the fleet, but for the one try in which each entry finds out.
+func TestTriesDuringAnOutageDoNotGrowWithTheFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 120).Draw(t, "entries")
+		silence := time.Duration(rapid.SampledFrom([]int{5, 800}).Draw(t, "silence")) * time.Millisecond
+		r := newReaders(t, n)
+		r.run(3 * time.Second)
+		r.down = func(int) bool { return true }
+		r.slow = func() time.Duration { return silence }
+		r.run(3 * time.Second)
+		r.reads = 0
+		r.run(8 * time.Second)
+		// Up to ten tries a second of each topic, whoever makes them.
+		if most := 8 * 10 * 2; r.reads > most {
+			t.Fatalf("%d entries tried %d times in 8 s", n, r.reads)
+		}
+	})
+}
+
 // An entry that starts while the store turns it away gets all from its peers.
 func TestPeersTellANewcomer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
