Tell peers what a configuration changes, not all of it

Change: news holds patches, a chain of them for versions in quick succession; only a patch of more than 80 items is left to be read.

--- a/tracker/news.go
+++ b/tracker/news.go
@@ -34,12 +34,16 @@
 	Offset     Offset               `cbor:"0,keyasint"`
 	Register   *placer.Registration `cbor:"1,keyasint,omitempty"`
 	Unregister loader.TargetName    `cbor:"2,keyasint,omitempty"`
-	Config     *router.Config       `cbor:"3,keyasint,omitempty"`
-	Evacuate   *EvacuateMsg         `cbor:"4,keyasint,omitempty"`
+	// Config is a whole configuration; Patch is what one changes of the
+	// configuration before it.
+	Config   *router.Config `cbor:"3,keyasint,omitempty"`
+	Patch    *router.Patch  `cbor:"5,keyasint,omitempty"`
+	Evacuate *EvacuateMsg   `cbor:"4,keyasint,omitempty"`
 }
 
-// newChange returns the change that a message makes.
-func newChange(r ReadRecord) Change {
+// newChange returns the change that a record makes; former is the
+// configuration before it.
+func newChange(r ReadRecord, former router.Config) Change {
 	c := Change{Offset: r.Offset}
 	switch msg := r.Msg.(type) {
 	case RegisterMsg:
@@ -47,7 +51,8 @@
 	case UnregisterMsg:
 		c.Unregister = msg.Name
 	case ConfigMsg:
-		c.Config = &msg.Config
+		patch := msg.Config.Patch(former)
+		c.Patch = &patch
 	case EvacuateMsg:
 		c.Evacuate = &msg
 	}
@@ -64,6 +69,8 @@
 		return UnregisterMsg{c.Unregister}
 	case c.Config != nil:
 		return ConfigMsg{*c.Config}
+	case c.Patch != nil:
+		return PatchMsg{*c.Patch}
 	case c.Evacuate != nil:
 		return *c.Evacuate
 	default:
@@ -71,6 +78,9 @@
 	}
 }
 
+// PatchMsg brings what a configuration changes of the one before it.
+type PatchMsg struct{ Patch router.Patch }
+
 // NewsMsg brings news of a peer.
 type NewsMsg struct{ News News }
 
@@ -99,8 +109,9 @@
 	News News
 }
 
-func (NewsMsg) msg() {}
-func (AskMsg) msg()  {}
+func (PatchMsg) msg() {}
+func (NewsMsg) msg()  {}
+func (AskMsg) msg()   {}
 
 func (SpreadCmd) cmd() {}
 func (AskCmd) cmd()    {}
@@ -126,20 +137,16 @@
 func (m *Model) spread(t Topic, now time.Time) []Cmd {
 	v := &m.Views[t]
 	n := News{Topic: t, From: v.recent[0], Next: v.Next, Age: v.age(now)}
-	// A configuration replaces the ones before it.
-	latest := Offset(0)
+	items := 0
 	for _, c := range m.changes[t] {
-		if c.Config != nil {
-			latest = c.Offset
+		if c.Patch != nil {
+			items += c.Patch.Size()
 		}
 	}
-	kept := slices.DeleteFunc(m.changes[t], func(c Change) bool { return c.Config != nil && c.Offset < latest })
-	m.changes[t] = kept
-	tooLong := func(c Change) bool { return c.Config != nil && len(c.Config.Routes) > maxNewsRoutes }
-	if len(kept) > maxNewsChanges || slices.ContainsFunc(kept, tooLong) {
+	if len(m.changes[t]) > maxNewsChanges || items > maxNewsItems {
 		n.From = n.Next
 	} else {
-		n.Changes = slices.Clone(kept)
+		n.Changes = slices.Clone(m.changes[t])
 	}
 	return []Cmd{SpreadCmd{n}}
 }
@@ -162,7 +169,7 @@
 	case !v.Known || n.Next < v.Next || n.Whole:
 		return nil
 	}
-	if n.From > v.Next {
+	if n.From > v.Next || !m.follows(n.Changes, v.Next) {
 		// Somebody reaches the store, so this entry needn't wait for its turn at
 		// trying it. It may still be turned away itself.
 		if v.Reading || now.Before(v.FailedAt.Add(failurePause)) {
@@ -188,6 +195,22 @@
 	return cmds
 }
 
+// follows tells whether the patches among the changes from an offset on lead on
+// from the configuration in force.
+func (m *Model) follows(changes []Change, from Offset) bool {
+	version := m.Config.Version
+	for _, c := range changes {
+		if c.Patch == nil || c.Offset < from || c.Patch.Version <= version {
+			continue
+		}
+		if c.Patch.Base != version {
+			return false
+		}
+		version = c.Patch.Version
+	}
+	return true
+}
+
 // takeWhole takes all that a peer knows of a topic.
 func (m *Model) takeWhole(n News, now time.Time) []Cmd {
 	v := &m.Views[n.Topic]
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -153,6 +153,10 @@
 	switch msg := msg.(type) {
 	case ConfigMsg:
 		return m.configure(msg.Config)
+	case PatchMsg:
+		if cfg, ok := m.Config.Apply(msg.Patch); ok {
+			return m.configure(cfg)
+		}
 	case EvacuateMsg:
 		return m.evacuate(msg.DataCentre, msg.Out)
 	case EvacuatedMsg:
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -29,16 +29,17 @@
 	peerSpread = 17 * time.Millisecond
 	maxSpread  = 2000 * time.Millisecond
 	// targetNews and orderNews are how many reads the news of a topic covers:
-	// with 2, a lost datagram does no harm if the next one arrives. Orders are
-	// long; an entry that missed one reads the store.
+	// with 2, a lost datagram does no harm if the next one arrives. Orders may
+	// be long; an entry that missed one reads the store.
 	targetNews = 2
 	orderNews  = 1
 	// maxNewsChanges is how many changes are told at once. With more, the
 	// peers are left to read the store.
 	maxNewsChanges = 500
-	// maxNewsRoutes is the size of a configuration up to which it is told, in
-	// routes of about 250 bytes: small links carry it within a read's time.
-	maxNewsRoutes = 80
+	// maxNewsItems is the size up to which patches of the configuration are
+	// told, in routes or services of about 250 bytes: small links carry it
+	// within a read's time.
+	maxNewsItems = 80
 	// awayAfter is the age of a view from which on the store must have been
 	// away from every entry.
 	awayAfter = 2 * time.Second
@@ -198,10 +199,10 @@
 		if r.Msg == nil || r.Offset < from {
 			continue
 		}
-		before := len(cmds)
+		before, former := len(cmds), m.Config
 		cmds = append(cmds, m.Update(r.Msg, now)...)
 		if len(cmds) > before {
-			m.changes[msg.Topic] = append(m.changes[msg.Topic], newChange(r))
+			m.changes[msg.Topic] = append(m.changes[msg.Topic], newChange(r, former))
 		}
 	}
 	if msg.Full {
--- a/tracker/view_test.go
+++ b/tracker/view_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"savoryroad.dev/loader"
@@ -309,6 +311,40 @@
 	return cfg
 }
 
+// Changes of a long configuration are told as what they change: the fleet has
+// each version within 2 s, though news is lost, and does not read it entry by
+// entry.
+func TestPropertyConfigurationsAreToldAsPatches(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 16).Draw(t, "entries")
+		loss := rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "loss")
+		r := newReaders(t, n)
+		version := router.Version(2)
+		r.orders = []Msg{ConfigMsg{manyRoutes(version)}}
+		r.run(2 * time.Second)
+		random := rand.New(rand.NewPCG(3, 9))
+		r.lost = func() bool { return random.Float64() < loss }
+		r.reads = 0
+		const steps = 6
+		for range steps {
+			for range rapid.IntRange(1, 4).Draw(t, "versions") {
+				version += 3
+				r.orders = append(r.orders, ConfigMsg{manyRoutes(version)})
+			}
+			r.run(2 * time.Second)
+			for i, m := range r.models {
+				if want := manyRoutes(version); !reflect.DeepEqual(want, m.Config) {
+					t.Fatalf("entry %d of %d after 2 s (-want +got):\n%s", i, n, cmp.Diff(want, m.Config))
+				}
+			}
+		}
+		// Two reads of each topic a second, whatever the size of the fleet.
+		if most := 2 * 2 * 2 * steps; loss == 0 && r.reads > most {
+			t.Fatalf("%d entries read %d times for %d versions", n, r.reads, steps)
+		}
+	})
+}
+
 // A long configuration that is written as an outage ends is in force
 // everywhere within 2 s, whoever tried the store when.
 func TestPropertyLongConfigurationIsKnownAfterAnOutage(t *testing.T) {
