Take a 503 of the log service for a refusal

Cause: TestLogOutage beside load answered purchases as unknown. Each time, a handover of shares had begun 1 ms to 5 ms before the log went away. Its append got 503, which counted as an unknown outcome, so the giver waited for the record to appear and nobody granted the keys of 10 shares for the rest of the outage. Change: the service answers 503 only when it has done nothing, as the platform's store does; the append is refused and the giver keeps its shares.

--- a/appender/http.go
+++ b/appender/http.go
@@ -31,7 +31,8 @@
 //	POST /streams/NAME               body: the record; 201 {"Offset": 7}
 //	GET  /streams/NAME?from=7&wait=10s   200 a Page
 //
-// A 4xx answer to an append means that the record was refused.
+// A 4xx or 503 answer to an append means that the record was refused: the
+// service answers 503 only when it has done nothing.
 type HTTP struct {
 	base   string
 	client *http.Client
@@ -50,8 +51,8 @@
 // Close drops the idle connections.
 func (h *HTTP) Close() { h.client.CloseIdleConnections() }
 
-// Append adds one record. Only a refused connection or a 4xx answer proves
-// that the record is not in the log.
+// Append adds one record. Only a refused connection and an answer that says so
+// prove that the record is not in the log.
 func (h *HTTP) Append(ctx context.Context, s Stream, data []byte) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
@@ -68,7 +69,7 @@
 	}
 	defer resp.Body.Close()
 	if err := statusError(resp, http.StatusCreated); err != nil {
-		if resp.StatusCode >= 400 && resp.StatusCode < 500 {
+		if resp.StatusCode >= 400 && resp.StatusCode < 500 || resp.StatusCode == http.StatusServiceUnavailable {
 			return Refused{Reason: err}
 		}
 		return Unknown{Cause: err}
