Soak real entries under random faults

Cause: the promises were checked in one process or by the users' bench; nothing of ours harmed real processes. Change: savorybench soak runs entries as processes against the store's stand-in and targets behind loopback proxies that delay, reset, cut one way and silence; it kills, stops, pauses and reloads entries, replaces targets, changes the configuration and lets the store fail. It checks at most once, true refusals, whole answers, graceful stops, no way back of a configuration, changes in time, leaving targets, cold rates, the retry budget, no ends of its own and recovery.

--- a/savorybench/main.go
+++ b/savorybench/main.go
@@ -24,6 +24,7 @@
 	Call    callCmd    `cmd:"" help:"Make one call that must not run twice. Example: savorybench call --entry 127.0.0.1:8081"`
 	Keys    keysCmd    `cmd:"" help:"Write keys for the links between entries, for trying things out. Example: savorybench keys --dir keys entry-01 entry-02"`
 	Bulk    bulkCmd    `cmd:"" help:"Pass a large upload and a large answer through an entry and measure the memory. Example: savorybench bulk --mebibytes 1024"`
+	Soak    soakCmd    `cmd:"" help:"Run entries as processes under random faults, and check what callers and backend servers see. Example: savorybench soak --seeds 50"`
 }
 
 func main() {
