Number the callers of the soak

Cause: two of 56 seeds (23, 55) reported a request as run and cut off at a stop. The log shows that it never reached the entry: the callers of the start and of the recovery had the same ids, and the one of the start had run. Change: each caller has a number of its own; seed 23 is a regression case. Conclusion: a fault of the check, not of the entries; the bound is as it was.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -21,7 +21,9 @@
 	client *http.Client
 }
 
-func newCaller(number uint64, s *Soaker) *caller {
+// newCaller returns a caller whose requests have ids that no other's have.
+func newCaller(s *Soaker) *caller {
+	number := s.numbered.Add(1)
 	return &caller{
 		s: s, number: number, rand: rand.New(rand.NewPCG(s.options.Seed, number)),
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
@@ -29,8 +31,8 @@
 }
 
 // call calls random entries until the context ends.
-func (s *Soaker) call(ctx context.Context, number int) {
-	c := newCaller(uint64(number)+100, s)
+func (s *Soaker) call(ctx context.Context) {
+	c := newCaller(s)
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		p := s.processes[c.rand.IntN(len(s.processes))]
--- a/soaker/probe.go
+++ b/soaker/probe.go
@@ -18,7 +18,7 @@
 // the configuration and spare targets that leave, and that no process goes back
 // to an earlier configuration.
 func (s *Soaker) probe(ctx context.Context) {
-	c := newCaller(99, s)
+	c := newCaller(s)
 	defer c.client.CloseIdleConnections()
 	type known struct {
 		incarnation, version int
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -20,6 +20,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -83,7 +84,9 @@
 	server    *httptest.Server
 	storeAt   netip.AddrPort
 	processes []*process
-	faults    map[string]int
+	// numbered counts the callers.
+	numbered atomic.Uint64
+	faults   map[string]int
 
 	mu sync.Mutex
 	// targets holds all that there ever were, current those that serve.
@@ -104,8 +107,8 @@
 	calls, stop := context.WithCancel(ctx)
 	defer stop()
 	var callers sync.WaitGroup
-	for i := range s.options.Callers {
-		callers.Go(func() { s.call(calls, i) })
+	for range s.options.Callers {
+		callers.Go(func() { s.call(calls) })
 	}
 	callers.Go(func() { s.probe(calls) })
 	s.harm(ctx)
@@ -186,8 +189,8 @@
 
 // awaitServed waits until every entry serves.
 func (s *Soaker) awaitServed(ctx context.Context) error {
-	for i, p := range s.processes {
-		c := newCaller(uint64(i), s)
+	for _, p := range s.processes {
+		c := newCaller(s)
 		for c.safe(ctx, p, "/a/start") != http.StatusOK {
 			if ctx.Err() != nil {
 				return errors.Newf("%s doesn't serve", p.settings.Name)
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -9,7 +9,12 @@
 
 // seeds are run each time: two that were drawn, and every one that ever broke a
 // promise, with a line on the cause.
-var seeds = []uint64{1, 2}
+var seeds = []uint64{
+	1, 2,
+	// 23 and 55 told of a request cut off that had not run: callers of the
+	// start and of the recovery had the same ids.
+	23,
+}
 
 // Promises that hold at any speed are kept by real processes under faults. The
 // others need a machine with nothing else to do: savorybench soak.
