Bound the health checks of each target

Cause: nothing held the platform's bound of 60 health checks a target and second. Change: an entry spends its part of 0.85 of the bound over 20 s; when that is used up it asks one target a look, and a request that finds no room is refused after its first look.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -30,6 +30,7 @@
 	config   router.Service
 	placer   *placer.Service
 	budget   *rationer.Budget
+	probes   *rationer.Probes
 	recorder *recorder.Recorder
 	*connections
 }
@@ -167,6 +168,7 @@
 		for name, targets := range cmd.Targets {
 			if s, ok := services[name]; ok {
 				s.drop(s.placer.SetTargets(targets))
+				g.setProbes(s)
 			}
 		}
 	case tracker.ShareCmd:
@@ -198,11 +200,12 @@
 	for name, c := range cfg.Services {
 		s := &service{name: name, config: c, recorder: g.recorder}
 		if known, ok := old.services[name]; ok {
-			s.placer, s.budget, s.connections = known.placer, known.budget, known.connections
+			s.placer, s.budget, s.probes, s.connections = known.placer, known.budget, known.probes, known.connections
 		} else {
 			b := g.bounds.Load()
 			s.placer = placer.New(name, g.platform.DataCentre, rand.Uint64())
 			s.budget = rationer.NewBudget(b.RetryRatio, b.RetrySlack, b.RetryWindow)
+			s.probes = &rationer.Probes{}
 			s.connections = &connections{pools: map[*placer.Target]*carrier.Pool{}}
 		}
 		s.placer.SetCold(coldLimit(c, *g.bounds.Load()))
@@ -235,4 +238,14 @@
 		part = 1.0 / presumedEntries
 	}
 	s.limitConnections(max(minConnections, int(spendableConnections*part*float64(s.config.Connections))))
+	g.setProbes(s)
+}
+
+// setProbes passes on what the entry may ask the targets of a service.
+func (g *Gateway) setProbes(s *service) {
+	part := g.share.Part()
+	if part == 0 {
+		part = 1.0 / presumedEntries
+	}
+	s.probes.SetRate(g.bounds.Load().ProbesPerTarget, s.placer.Targets(), part)
 }
