Split what an entry follows: the store, its peers, its share

Cause: gateway/follow.go held three jobs. Change: one file each; no behaviour changes. Conclusion: each file tells one story.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,7 +6,8 @@
 //
 // A request runs through serve.go (routing and answers), call.go (attempts and
 // hedges) and look.go (asking targets for their load). What the entry believes
-// of the fleet comes in through follow.go and is kept by board.go.
+// of the fleet comes in through follow.go (the store), news.go (the peers) and
+// share.go (its part of the fleet), and is kept by board.go.
 package gateway
 
 import (
