--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PACKAGES = ./... ./savoryroad/... ./savoryctl/... ./savorybench/...
 
-.PHONY: build demo test check bench capacity fuzz soak format
+.PHONY: build demo test check bench capacity fuzz soak properties format
 
 build:
 	go build -o bin/ ./savoryroad ./savoryctl ./savorybench
@@ -33,5 +33,11 @@
 fuzz:
 	go test -run '^$$' -fuzz FuzzRender -fuzztime 30s ./loader
 
-soak:
+# SEED is the first of the SEEDS that are run.
+SEED = 1
+SEEDS = 50
+soak: build
+	bin/savorybench soak --first $(SEED) --seeds $(SEEDS)
+
+properties:
 	go test ./loader ./publisher ./registrar ./deduplicator ./warmer ./picker ./isolator -run Property -rapid.seed=0 -rapid.checks=10000
