--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -65,7 +65,7 @@
 		time.Sleep(d.lasts)
 		d.process.store.set(NoLinkFault)
 	}},
-	{"link to a target", 4, func(s *Soaker, d draw) {
+	{"link to a target", 4, func(_ *Soaker, d draw) {
 		d.target.link.set(linkFault(1 + d.pick%4))
 		time.Sleep(d.lasts)
 		d.target.link.set(NoLinkFault)
