List the targets once for each message

Change: a message lists the targets once at most, at its end. TestManyChangesAreListedOnce failed before for a read, for news and for a list that lacks targets.

--- a/tracker/news.go
+++ b/tracker/news.go
@@ -185,7 +185,7 @@
 	}
 	for _, c := range n.Changes {
 		if msg := c.msg(); msg != nil && c.Offset >= known {
-			cmds = append(cmds, m.Update(msg, now)...)
+			cmds = append(cmds, m.update(msg, now)...)
 			m.changes[n.Topic] = append(m.changes[n.Topic], c)
 		}
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -50,6 +50,8 @@
 	// Peers is how many other entries are known.
 	Peers int
 
+	// moved is set while other targets get requests than were last listed.
+	moved bool
 	// changes holds the latest changes of each topic, for the peers.
 	changes [topics][]Change
 	// random returns a number from 0 to 1.
@@ -148,8 +150,20 @@
 func (ShareCmd) cmd()   {}
 func (LogCmd) cmd()     {}
 
-// Update changes the model as a message says.
+// Update changes the model as a message says. Whatever a message brings, the
+// targets are listed once at most, at the end: a list costs as much as there are
+// targets, and a read may bring as many changes.
 func (m *Model) Update(msg Msg, now time.Time) []Cmd {
+	cmds := m.update(msg, now)
+	if m.moved {
+		m.moved = false
+		cmds = append(cmds, m.place())
+	}
+	return cmds
+}
+
+// update changes the model, and sets moved if other targets get requests.
+func (m *Model) update(msg Msg, now time.Time) []Cmd {
 	switch msg := msg.(type) {
 	case ConfigMsg:
 		return m.configure(msg.Config)
@@ -162,8 +176,8 @@
 	case EvacuatedMsg:
 		return m.evacuateAll(msg.DataCentres)
 	case RegisterMsg:
-		if log, changed := m.register(msg.Registration, now); changed {
-			return []Cmd{m.place(), log}
+		if log := m.register(msg.Registration, now); log != nil {
+			return []Cmd{log}
 		}
 	case UnregisterMsg:
 		return m.unregister(msg.Name, now)
@@ -193,7 +207,8 @@
 	}
 	was := m.Config.Version
 	m.Config = cfg
-	return []Cmd{InstallCmd{Config: cfg}, m.place(), info("configuration in force", map[string]any{
+	m.moved = true
+	return []Cmd{InstallCmd{Config: cfg}, info("configuration in force", map[string]any{
 		"Version": cfg.Version, "Former": was, "Routes": len(cfg.Routes), "Services": len(cfg.Services),
 	})}
 }
@@ -208,7 +223,8 @@
 	} else {
 		delete(m.Out, dc)
 	}
-	return []Cmd{m.place(), info("data centre changed", map[string]any{"DataCentre": dc, "Out": out})}
+	m.moved = true
+	return []Cmd{info("data centre changed", map[string]any{"DataCentre": dc, "Out": out})}
 }
 
 func (m *Model) evacuateAll(out map[loader.DataCentreName]bool) []Cmd {
@@ -216,18 +232,20 @@
 		return nil
 	}
 	m.Out = maps.Clone(out)
-	return []Cmd{m.place(), info("data centres changed", map[string]any{"Out": slices.Sorted(maps.Keys(out))})}
+	m.moved = true
+	return []Cmd{info("data centres changed", map[string]any{"Out": slices.Sorted(maps.Keys(out))})}
 }
 
-// register takes a registration unless it is older than what is known.
-func (m *Model) register(r placer.Registration, now time.Time) (log Cmd, changed bool) {
+// register takes a registration unless it is older than what is known. It
+// returns a line if more has changed than how long the target is cold.
+func (m *Model) register(r placer.Registration, now time.Time) Cmd {
 	known, ok := m.Targets[r.Name]
 	sameStart := ok && r.Born == known.Born
 	switch {
 	case ok && r.Born < known.Born,
 		sameStart && r.Sequence < known.Sequence,
 		sameStart && known.Gone && r.Sequence == known.Sequence:
-		return nil, false
+		return nil
 	}
 	t := Target{Registration: r}
 	if sameStart {
@@ -240,12 +258,14 @@
 	same := sameStart && known.LostAt.IsZero() && known.State == r.State && known.Service == r.Service &&
 		known.Address == r.Address && known.DataCentre == r.DataCentre && known.Slots == r.Slots
 	if same {
-		return nil, t.ColdUntil.After(known.ColdUntil)
+		m.moved = m.moved || t.ColdUntil.After(known.ColdUntil)
+		return nil
 	}
+	m.moved = true
 	return info("target changed", map[string]any{
 		"Target": r.Name, "Service": r.Service, "DataCentre": r.DataCentre, "State": r.State.String(),
 		"Sequence": r.Sequence, "Born": r.Born, "WarmupLeft": r.WarmupLeft.String(),
-	}), true
+	})
 }
 
 func (m *Model) unregister(name loader.TargetName, now time.Time) []Cmd {
@@ -256,7 +276,8 @@
 	t.LostAt = now
 	t.Gone = !m.excused()
 	m.Targets[name] = t
-	return []Cmd{m.place(), info("target unregistered", map[string]any{"Target": name, "Service": t.Service, "Gone": t.Gone})}
+	m.moved = true
+	return []Cmd{info("target unregistered", map[string]any{"Target": name, "Service": t.Service, "Gone": t.Gone})}
 }
 
 // excused tells whether registrations may be missing because of an outage of
@@ -271,7 +292,7 @@
 	listed := make(map[loader.TargetName]bool, len(all))
 	for _, r := range all {
 		listed[r.Name] = true
-		if log, _ := m.register(r, now); log != nil && m.Listed {
+		if log := m.register(r, now); log != nil && m.Listed {
 			cmds = append(cmds, log)
 		}
 	}
@@ -281,7 +302,8 @@
 		}
 	}
 	m.Listed = true
-	return append(cmds, m.place(), info("targets listed", map[string]any{"Targets": len(all)}))
+	m.moved = true
+	return append(cmds, info("targets listed", map[string]any{"Targets": len(all)}))
 }
 
 // own takes a new share. A partition that the entry keeps stays its own since
@@ -311,22 +333,18 @@
 		m.Share = rationer.Share{}
 		cmds = append(cmds, ShareCmd{}, LogCmd{Level: zerolog.WarnLevel, Text: "share of the fleet lapsed", Fields: map[string]any{}})
 	}
-	changed := false
 	for name, t := range m.Targets {
 		switch {
 		case t.LostAt.IsZero():
 		case !t.Gone && !m.excused():
 			t.Gone = true
 			m.Targets[name] = t
-			changed = true
+			m.moved = true
 			cmds = append(cmds, info("target gone", map[string]any{"Target": name, "Service": t.Service}))
 		case now.Sub(t.LostAt) > memoryTime:
 			delete(m.Targets, name)
 		}
 	}
-	if changed {
-		cmds = append(cmds, m.place())
-	}
 	return cmds
 }
 
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -122,6 +123,52 @@
 	}
 }
 
+// A read that brings many changes costs one list of the targets, not one for
+// each change.
+func TestManyChangesAreListedOnce(t *testing.T) {
+	const n = 1000
+	read := ReadMsg{Topic: Targets, Next: n, Asked: start}
+	list := ListMsg{}
+	news := News{Topic: Targets, Next: n}
+	for i := range n {
+		r := registration(fmt.Sprint("t", i), 1, 1, loader.Active)
+		read.Records = append(read.Records, ReadRecord{Offset: Offset(i), Msg: RegisterMsg{r}})
+		news.Changes = append(news.Changes, Change{Offset: Offset(i), Register: &r})
+		list.Registrations = append(list.Registrations, r)
+	}
+	known := func() *Model {
+		m := configured()
+		m.Update(ReadMsg{Topic: Targets, Full: true, Asked: start, Msgs: []Msg{ListMsg{}}}, start)
+		return m
+	}
+	listed := known()
+	listed.Update(list, start)
+	for _, c := range []struct {
+		name  string
+		model *Model
+		msg   Msg
+		want  int
+	}{
+		{"read", known(), read, n},
+		{"news", known(), NewsMsg{news}, n},
+		{"list", known(), list, n},
+		{"all gone", listed, ListMsg{}, 0},
+	} {
+		places := 0
+		for _, cmd := range c.model.Update(c.msg, start) {
+			if cmd, ok := cmd.(PlaceCmd); ok {
+				places++
+				if got := len(cmd.Targets["s"]); got != c.want {
+					t.Errorf("%s: %d targets, want %d", c.name, got, c.want)
+				}
+			}
+		}
+		if places != 1 {
+			t.Errorf("%s: the targets are listed %d times", c.name, places)
+		}
+	}
+}
+
 func TestShareLapses(t *testing.T) {
 	m := model()
 	m.Update(ShareMsg{Total: 4, Owned: []int{1, 2}, Until: start.Add(time.Second)}, start)
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -193,15 +193,18 @@
 	m.advance(msg.Topic, msg.Next, msg.Asked, mine, now)
 	var cmds []Cmd
 	for _, one := range msg.Msgs {
-		cmds = append(cmds, m.Update(one, now)...)
+		cmds = append(cmds, m.update(one, now)...)
 	}
 	for _, r := range msg.Records {
 		if r.Msg == nil || r.Offset < from {
 			continue
 		}
-		before, former := len(cmds), m.Config
-		cmds = append(cmds, m.Update(r.Msg, now)...)
-		if len(cmds) > before {
+		before, former, moved := len(cmds), m.Config, m.moved
+		m.moved = false
+		cmds = append(cmds, m.update(r.Msg, now)...)
+		changed := m.moved || len(cmds) > before
+		m.moved = m.moved || moved
+		if changed {
 			m.changes[msg.Topic] = append(m.changes[msg.Topic], newChange(r, former))
 		}
 	}
