Say once which statuses promise, and what targets answer

Cause: gateway and soaker each listed the statuses that promise "not run"; the soak and the stand-in each spelled the body of an answer and the usual pace; the gateway's tests wrote a configuration by the platform's field names beside standin.PutConfig, which writes the same. Change: platform.PromisesNotRun, standin.AnswerBody and standin.UsualPace; the gateway's tests use PutConfig and Register. No test's expectation is changed. Conclusion: one copy of each.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -60,7 +61,7 @@
 		target := standin.NewTarget(fmt.Sprintf("t%d", i), 6, 2*time.Millisecond)
 		t.Cleanup(target.Close)
 		f.targets = append(f.targets, target)
-		f.store.PutJSON(platform.TargetTopic, target.ID, target.Entry("s", "home", "ready", 1))
+		f.store.Register(target, "s", "home", target.Address(), "ready", 1, 0)
 	}
 	f.configure(nil)
 	subnet := fleets.Add(1)
@@ -111,23 +112,14 @@
 }
 
 // configure puts a new version of the configuration into the store.
-func (f *fleet) configure(extra map[string]any) {
+func (f *fleet) configure(extra map[string]standin.Route) {
 	f.version++
-	routes := map[string]any{}
+	routes := map[string]standin.Route{}
 	for kind, prefix := range map[string]string{"safe": "/safe/", "unsafe": "/unsafe/", "upload": "/upload/"} {
-		routes[kind] = map[string]any{
-			"host": "a.example", "pathPrefix": prefix, "kind": kind, "timeout": "1000ms", "objective": "300ms",
-			"service": "s", "maxAttempts": 2,
-		}
-	}
-	for name, r := range extra {
-		routes[name] = r
+		routes[kind] = standin.Route{Host: "a.example", PathPrefix: prefix, Kind: kind, Timeout: 1000, Objective: 300, Service: "s"}
 	}
-	f.store.PutJSON(platform.OperatorTopic, "config", map[string]any{
-		"version": f.version, "routes": routes,
-		"services": map[string]any{"s": map[string]any{"healthPath": "/health", "connLimit": 240, "warmup": "3s", "warmupPerS": 14}},
-		"limits":   map[string]any{"headerBytes": 16384, "bodyBytes": 8 << 20, "headerTimeout": "3s", "idleTimeout": "15s"},
-	})
+	maps.Copy(routes, extra)
+	f.store.PutConfig(f.version, []string{"s"}, routes)
 }
 
 // await waits until a condition holds; the test's own time limit ends it.
@@ -263,7 +255,7 @@
 			if f.runs(id) != 1 {
 				t.Errorf("%s ran %d times", id, f.runs(id))
 			}
-			if got.status < 500 || promisesNotRun(got.status) {
+			if got.status < 500 || platform.PromisesNotRun(got.status) {
 				t.Errorf("%s: %+v", id, got)
 			}
 			if sealed := standin.Seal(got.header) != ""; sealed != (b == standin.Fail) {
@@ -373,7 +365,7 @@
 
 func TestLeavingTargetGetsNothingNew(t *testing.T) {
 	f := newFleet(t, 2, 2)
-	f.store.PutJSON(platform.TargetTopic, "t0", f.targets[0].Entry("s", "home", "draining", 2))
+	f.store.Register(f.targets[0], "s", "home", f.targets[0].Address(), "draining", 2, 0)
 	for _, e := range f.entries {
 		f.await(func() bool { return e.board.Load().services["s"].placer.Targets() == 1 })
 	}
@@ -402,8 +394,8 @@
 		}
 		return standin.NoFault
 	})
-	f.configure(map[string]any{"new": map[string]any{
-		"host": "a.example", "pathPrefix": "/new/", "kind": "safe", "timeout": "1s", "objective": "300ms", "service": "s", "maxAttempts": 2,
+	f.configure(map[string]standin.Route{"new": {
+		Host: "a.example", PathPrefix: "/new/", Kind: "safe", Timeout: 1000, Objective: 300, Service: "s",
 	}})
 	for _, e := range f.entries {
 		f.await(func() bool { return f.call(e, http.MethodGet, "/new/", "n", nil).status == http.StatusOK })
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -189,7 +189,7 @@
 // passOn passes a target's answer on, unchanged.
 func (g *Gateway) passOn(w http.ResponseWriter, r *http.Request, c *call, v answered) {
 	a := v.answer
-	if promisesNotRun(a.Status) {
+	if platform.PromisesNotRun(a.Status) {
 		// These statuses say that a request did not run. The target has not
 		// said so, and what it did say stays between it and this entry.
 		a.Finish(false)
@@ -231,16 +231,6 @@
 	}
 }
 
-// promisesNotRun tells whether callers take a status for the promise that the
-// request did not run and never will.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // refuse tells a caller that its request did not run, and when to come back.
 func refuse(w http.ResponseWriter, v refused) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(v.after.Seconds(), 'f', 3, 64))
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -16,6 +16,9 @@
 	maxGap   = 900 * time.Millisecond
 	minFault = 200 * time.Millisecond
 	maxFault = 3 * time.Second
+	// slowPace makes a target's work take 120 ms: far longer than at the others,
+	// and within the objective.
+	slowPace = 6 * standin.UsualPace
 )
 
 // faultKind is one kind of harm.
@@ -77,9 +80,9 @@
 		d.target.SetBehaviour(nil)
 	}},
 	{"target slow", 2, func(_ *Soaker, d draw) {
-		d.target.SetPace(600)
+		d.target.SetPace(slowPace)
 		time.Sleep(d.lasts)
-		d.target.SetPace(100)
+		d.target.SetPace(standin.UsualPace)
 	}},
 	{"target replaced", 2, func(s *Soaker, _ draw) {
 		if err := s.replaceTarget(); err != nil {
--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"savoryroad.dev/platform"
 	"savoryroad.dev/platform/standin"
 )
 
@@ -70,7 +71,7 @@
 
 // wholeBody tells whether a body is that of a target's answer to a request.
 func wholeBody(body, id, uri string, length int) bool {
-	return strings.HasSuffix(body, fmt.Sprintf(" %s %s %d", id, uri, length))
+	return strings.HasSuffix(body, standin.AnswerBody("", id, uri, length))
 }
 
 // settle checks what can be told once everything has ended.
@@ -89,7 +90,7 @@
 		switch {
 		case !r.safe && n > 1:
 			l.broken("at most once", "request %s ran %d times; its caller got %d from %s", r.id, n, r.status, r.entry)
-		case !r.safe && n > 0 && promisesNotRun(r.status):
+		case !r.safe && n > 0 && platform.PromisesNotRun(r.status):
 			l.broken("true refusals", "request %s ran, though %s answered %d", r.id, r.entry, r.status)
 		case r.stopped && r.status == 0 && n > 0:
 			l.broken("graceful stop", "request %s, sent at %.3f s to %s, ran and was cut off", r.id, r.sent.Sub(l.start).Seconds(), r.entry)
@@ -101,12 +102,6 @@
 	l.checkRepeats(targets, replies)
 }
 
-// promisesNotRun tells whether callers take a status for the promise that the
-// request did not run.
-func promisesNotRun(status int) bool {
-	return status == 503 || status == 429 || status == 408 || status == 421
-}
-
 // checkCold checks what a target got while it was cold, in any second.
 func (l *ledger) checkCold(t *target) {
 	peak := standin.ColdRate*bounds.WarmupExcess + bounds.WarmupSlack
--- a/soaker/target.go
+++ b/soaker/target.go
@@ -32,7 +32,7 @@
 // heal ends the faults of a target.
 func (t *target) heal() {
 	t.SetBehaviour(nil)
-	t.SetPace(100)
+	t.SetPace(standin.UsualPace)
 	t.link.set(NoLinkFault)
 }
 
