Simplify the soak; count the time to settle once

Cause: a stop was checked only of entries that had been calm for 10 s: what troubles an entry already adds the 5 s, and the check took them off again. Targets were registered twice at their start, the reason of a restart that failed was lost, and a field of replies, an address and a wrapper of one call had no use. Change: calm is what the process says; a target is registered once, cold or not; a failed restart is reported with its reason. Conclusion: stricter, with less state.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -75,12 +75,12 @@
 	}
 	sent := time.Now()
 	incarnation, _, _ := p.state(sent)
-	reply := reply{id: id, safe: method == http.MethodGet, entry: p.settings.Name, incarnation: incarnation, sent: sent}
+	reply := reply{id: id, safe: method == http.MethodGet, entry: p.settings.Name, sent: sent}
 	resp, err := c.client.Do(r)
 	if err == nil {
 		reply.status = c.take(resp, id, path, len(body))
 	}
-	now, calm, leaving := p.state(sent.Add(-settleTime))
+	now, calm, leaving := p.state(sent)
 	reply.stopped = leaving && calm && now == incarnation && within.Err() == nil
 	c.s.ledger.note(reply)
 	return reply.status
--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -32,9 +32,8 @@
 	safe bool
 	// status is 0 when the connection ended without a whole answer.
 	status int
-	// entry and incarnation are who took the request.
-	entry       string
-	incarnation int
+	// entry is who took the request.
+	entry string
 	// stopped is set when the entry was leaving at the end, nothing else
 	// troubled it, and the caller had not given up.
 	stopped bool
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -59,6 +59,8 @@
 	// unordered counts the ends that nobody ordered, late the kills at the end
 	// of the grace time.
 	unordered, late int
+	// failed is why the process could not be started again.
+	failed error
 }
 
 func (p *process) settingsFile() string {
@@ -109,7 +111,7 @@
 	if err := p.start(); err != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.unordered++
+		p.failed = err
 	}
 }
 
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -1,7 +1,6 @@
 package soaker
 
 import (
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -139,8 +138,13 @@
 	buf := make([]byte, proxyBuffer)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && (!p.hold(from, answers) || writeAll(to, buf[:n]) != nil) {
-			return
+		if n > 0 {
+			if !p.hold(from, answers) {
+				return
+			}
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
 		}
 		if err != nil {
 			return
@@ -148,11 +152,6 @@
 	}
 }
 
-func writeAll(w io.Writer, data []byte) error {
-	_, err := w.Write(data)
-	return err
-}
-
 // hold waits as the fault in force says. It tells whether the connection is
 // still there.
 func (p *proxy) hold(from net.Conn, answers bool) bool {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -18,7 +18,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,7 +81,6 @@
 	ledger    *ledger
 	store     *standin.Store
 	server    *httptest.Server
-	storeAt   netip.AddrPort
 	processes []*process
 	// numbered counts the callers.
 	numbered atomic.Uint64
@@ -119,6 +117,9 @@
 	callers.Wait()
 	s.ledger.settle(s.targets)
 	for _, p := range s.processes {
+		if p.failed != nil {
+			s.ledger.broken("soak", "%s could not be started again: %v", p.settings.Name, p.failed)
+		}
 		if p.unordered > 0 {
 			s.ledger.broken("no ends of its own", "%s ended %d times without being told", p.settings.Name, p.unordered)
 		}
@@ -148,9 +149,8 @@
 // ready.
 func (s *Soaker) begin(ctx context.Context) error {
 	s.server = httptest.NewServer(s.store)
-	s.storeAt = netip.MustParseAddrPort(strings.TrimPrefix(s.server.URL, "http://"))
 	for range s.options.Targets {
-		if _, err := s.addTarget(); err != nil {
+		if err := s.addTarget(0); err != nil {
 			return err
 		}
 	}
@@ -165,7 +165,7 @@
 		ips = append(ips, ip)
 	}
 	for i, ip := range ips {
-		store, err := newProxy(s.storeAt.String())
+		store, err := newProxy(s.server.Listener.Addr().String())
 		if err != nil {
 			return err
 		}
--- a/soaker/target.go
+++ b/soaker/target.go
@@ -9,10 +9,13 @@
 	"savoryroad.dev/platform/standin"
 )
 
-// The services, and the data centres of targets and entries.
 const (
+	// serviceA is the one service, and host what callers name.
 	serviceA = "a"
-	centres  = 2
+	host     = "soak.example"
+	// centres is the number of data centres, over which targets and entries are
+	// spread.
+	centres = 2
 )
 
 func dataCentre(i int) string { return fmt.Sprintf("dc-%d", i%centres) }
@@ -47,8 +50,8 @@
 	})
 }
 
-// addTarget starts a target and registers it.
-func (s *Soaker) addTarget() (*target, error) {
+// addTarget starts a target that is cold for some time, and registers it.
+func (s *Soaker) addTarget(cold time.Duration) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := len(s.targets)
@@ -56,11 +59,15 @@
 	var err error
 	if t.link, err = newProxy(t.Address()); err != nil {
 		t.Close()
-		return nil, err
+		return err
+	}
+	if cold > 0 {
+		t.coldUntil = time.Now().Add(cold)
+		t.SetCold(t.coldUntil)
 	}
 	s.targets, s.current = append(s.targets, t), append(s.current, t)
-	s.register(t, "ready", 0)
-	return t, nil
+	s.register(t, "ready", cold)
+	return nil
 }
 
 // register writes the record of a target; the caller holds the lock.
@@ -72,15 +79,11 @@
 // replaceTarget adds a cold target and lets another one leave.
 func (s *Soaker) replaceTarget() error {
 	const cold = 3 * time.Second
-	t, err := s.addTarget()
-	if err != nil {
+	if err := s.addTarget(cold); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.coldUntil = time.Now().Add(cold)
-	t.SetCold(t.coldUntil)
-	s.register(t, "ready", cold)
 	leaving := s.current[0]
 	s.current = s.current[1:]
 	leaving.heal()
@@ -105,7 +108,4 @@
 	s.changed = time.Now()
 }
 
-// host is the one that callers name.
-const host = "soak.example"
-
 func versionPath(version int) string { return fmt.Sprintf("/v/%d/", version) }
