Count moves of targets; name the presumed part of an entry

Cause: the list of targets was asked for through a flag that a read set aside and put back for each record; the part of the fleet that an entry presumes was worked out twice; a loop changed the bound it had begun with. Change: a counter tells a record that moved something from one that did not; presumedPart serves connections and health checks. No behaviour changes: every record that yields a command moves something, and the tests are as they were. Conclusion: state that can be derived is derived.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -231,21 +231,22 @@
 
 // setShare passes the entry's share of the fleet on to a service.
 func (g *Gateway) setShare(s *service) {
-	part := g.share.Part()
 	s.placer.SetShare(g.share)
-	s.budget.SetShare(part)
-	if part == 0 {
-		part = 1.0 / presumedEntries
-	}
-	s.limitConnections(max(minConnections, int(spendableConnections*part*float64(s.config.Connections))))
+	s.budget.SetShare(g.share.Part())
+	s.limitConnections(max(minConnections, int(spendableConnections*g.presumedPart()*float64(s.config.Connections))))
 	g.setProbes(s)
 }
 
+// presumedPart is the entry's part of the fleet, or what it most likely is while
+// that is not known.
+func (g *Gateway) presumedPart() float64 {
+	if part := g.share.Part(); part > 0 {
+		return part
+	}
+	return 1.0 / presumedEntries
+}
+
 // setProbes passes on what the entry may ask the targets of a service.
 func (g *Gateway) setProbes(s *service) {
-	part := g.share.Part()
-	if part == 0 {
-		part = 1.0 / presumedEntries
-	}
-	s.probes.SetRate(g.bounds.Load().ProbesPerTarget, s.placer.Targets(), part)
+	s.probes.SetRate(g.bounds.Load().ProbesPerTarget, s.placer.Targets(), g.presumedPart())
 }
--- a/placer/candidate.go
+++ b/placer/candidate.go
@@ -33,13 +33,14 @@
 			others.add(c)
 		}
 	}
+	left := n
 	for range n - 1 {
 		if c, ok := familiar.take(); ok {
 			dst = append(dst, c.target)
-			n--
+			left--
 		}
 	}
-	for range n {
+	for range left {
 		next := &familiar
 		if familiar.len == 0 || others.len > 0 && others.best[others.first].rank < familiar.best[familiar.first].rank {
 			next = &others
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -50,8 +50,8 @@
 	// Peers is how many other entries are known.
 	Peers int
 
-	// moved is set while other targets get requests than were last listed.
-	moved bool
+	// moves counts the changes of which targets get requests.
+	moves int
 	// changes holds the latest changes of each topic, for the peers.
 	changes [topics][]Change
 	// random returns a number from 0 to 1.
@@ -154,15 +154,15 @@
 // targets are listed once at most, at the end: a list costs as much as there are
 // targets, and a read may bring as many changes.
 func (m *Model) Update(msg Msg, now time.Time) []Cmd {
+	before := m.moves
 	cmds := m.update(msg, now)
-	if m.moved {
-		m.moved = false
+	if m.moves > before {
 		cmds = append(cmds, m.place())
 	}
 	return cmds
 }
 
-// update changes the model, and sets moved if other targets get requests.
+// update changes the model, and counts a move if other targets get requests.
 func (m *Model) update(msg Msg, now time.Time) []Cmd {
 	switch msg := msg.(type) {
 	case ConfigMsg:
@@ -207,7 +207,7 @@
 	}
 	was := m.Config.Version
 	m.Config = cfg
-	m.moved = true
+	m.moves++
 	return []Cmd{InstallCmd{Config: cfg}, info("configuration in force", map[string]any{
 		"Version": cfg.Version, "Former": was, "Routes": len(cfg.Routes), "Services": len(cfg.Services),
 	})}
@@ -223,7 +223,7 @@
 	} else {
 		delete(m.Out, dc)
 	}
-	m.moved = true
+	m.moves++
 	return []Cmd{info("data centre changed", map[string]any{"DataCentre": dc, "Out": out})}
 }
 
@@ -232,7 +232,7 @@
 		return nil
 	}
 	m.Out = maps.Clone(out)
-	m.moved = true
+	m.moves++
 	return []Cmd{info("data centres changed", map[string]any{"Out": slices.Sorted(maps.Keys(out))})}
 }
 
@@ -258,10 +258,12 @@
 	same := sameStart && known.LostAt.IsZero() && known.State == r.State && known.Service == r.Service &&
 		known.Address == r.Address && known.DataCentre == r.DataCentre && known.Slots == r.Slots
 	if same {
-		m.moved = m.moved || t.ColdUntil.After(known.ColdUntil)
+		if t.ColdUntil.After(known.ColdUntil) {
+			m.moves++
+		}
 		return nil
 	}
-	m.moved = true
+	m.moves++
 	return info("target changed", map[string]any{
 		"Target": r.Name, "Service": r.Service, "DataCentre": r.DataCentre, "State": r.State.String(),
 		"Sequence": r.Sequence, "Born": r.Born, "WarmupLeft": r.WarmupLeft.String(),
@@ -276,7 +278,7 @@
 	t.LostAt = now
 	t.Gone = !m.excused()
 	m.Targets[name] = t
-	m.moved = true
+	m.moves++
 	return []Cmd{info("target unregistered", map[string]any{"Target": name, "Service": t.Service, "Gone": t.Gone})}
 }
 
@@ -302,7 +304,7 @@
 		}
 	}
 	m.Listed = true
-	m.moved = true
+	m.moves++
 	return append(cmds, info("targets listed", map[string]any{"Targets": len(all)}))
 }
 
@@ -339,7 +341,7 @@
 		case !t.Gone && !m.excused():
 			t.Gone = true
 			m.Targets[name] = t
-			m.moved = true
+			m.moves++
 			cmds = append(cmds, info("target gone", map[string]any{"Target": name, "Service": t.Service}))
 		case now.Sub(t.LostAt) > memoryTime:
 			delete(m.Targets, name)
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -199,12 +199,9 @@
 		if r.Msg == nil || r.Offset < from {
 			continue
 		}
-		before, former, moved := len(cmds), m.Config, m.moved
-		m.moved = false
+		before, former := m.moves, m.Config
 		cmds = append(cmds, m.update(r.Msg, now)...)
-		changed := m.moved || len(cmds) > before
-		m.moved = m.moved || moved
-		if changed {
+		if m.moves > before {
 			m.changes[msg.Topic] = append(m.changes[msg.Topic], newChange(r, former))
 		}
 	}
