Let a reloaded bound on health checks count at once

Cause: reloaded settings passed the bounds of cold targets and repeats on, and left that of health checks to the next change of targets. Change: it is passed on with the others. TestReloadedBoundOnHealthChecks failed before. Conclusion: bounds are reloaded together.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -221,6 +221,7 @@
 	for _, s := range g.board.Load().services {
 		s.placer.SetCold(coldLimit(s.config, *b))
 		s.budget.SetBounds(b.RetryRatio, b.RetrySlack)
+		g.setProbes(s)
 	}
 }
 
