Log failed reads of the store and those that leave records behind

Cause: the log could not tell the three hypotheses about late configurations apart. Failed reads were logged at the level Debug without their duration, and nothing showed that a page ended before the end of the partition. Change: both are logged, with the offsets and the duration, and counted in metrics.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"savoryroad.dev/loader"
 	"savoryroad.dev/placer"
@@ -32,11 +33,19 @@
 	g.storeReads.Inc(1)
 	if err != nil {
 		trimmed := errors.Is(err, platform.ErrTrimmed)
-		g.log.Debug().Err(err).Str("Topic", topic).Uint64("From", uint64(cmd.From)).Bool("Trimmed", trimmed).Msg("read of the store failed")
+		g.storeReadFailures.Inc(1)
+		g.log.Info().Err(err).Str("Topic", topic).Uint64("From", uint64(cmd.From)).Bool("Full", cmd.Full).Bool("Trimmed", trimmed).
+			Dur("Took", time.Since(startedAt)).Msg("read of the store failed")
 		g.dispatch(tracker.ReadFailedMsg{Topic: cmd.Topic, Trimmed: trimmed})
 		return
 	}
-	g.log.Debug().Str("Topic", topic).Uint64("From", uint64(cmd.From)).Bool("Full", cmd.Full).Uint64("Next", uint64(page.Next)).Msg("read")
+	level, text := zerolog.DebugLevel, "read"
+	if page.Next < page.End {
+		g.storeReadsPartial.Inc(1)
+		level, text = zerolog.InfoLevel, "read left records behind"
+	}
+	g.log.WithLevel(level).Str("Topic", topic).Uint64("From", uint64(cmd.From)).Bool("Full", cmd.Full).Uint64("Next", uint64(page.Next)).
+		Uint64("End", uint64(page.End)).Dur("Took", time.Since(startedAt)).Msg(text)
 	msg := tracker.ReadMsg{Topic: cmd.Topic, Full: cmd.Full, Next: tracker.Offset(page.Next), Asked: startedAt}
 	switch {
 	case !cmd.Full:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,8 +64,10 @@
 	store      *platform.Store
 	log        zerolog.Logger
 	recorder   *recorder.Recorder
-	storeReads metrics.Counter
-	gossiper   *gossiper.Gossiper
+	// storeReads counts the reads of the store, storeReadFailures those of them that
+	// failed, and storeReadsPartial those that left records behind.
+	storeReads, storeReadFailures, storeReadsPartial metrics.Counter
+	gossiper                                         *gossiper.Gossiper
 	// buffers bounds the memory of response bodies; nil means no bound.
 	buffers *transporter.Buffers
 
@@ -137,6 +139,8 @@
 		g.buffers = transporter.NewBuffers(p.MemoryBytes / bufferMemoryDivisor)
 	}
 	g.storeReads = g.recorder.Counter("store_reads_total")
+	g.storeReadFailures = g.recorder.Counter("store_read_failures_total")
+	g.storeReadsPartial = g.recorder.Counter("store_reads_partial_total")
 	g.snapshot.Store(&snapshot{})
 	g.bounds.Store(&p.Bounds)
 	g.calls, g.endCalls = context.WithCancel(context.Background())
