Catch up with the newest configuration instead of reading all that was missed

What callers saw: 404 for routes that had been added, and requests to the former service, for 3 s to 4 s after a change was acknowledged, from entries that had been cut off from the store and were back for 3 s.

Cause: an entry that missed changes read every version that it had missed. The cost of catching up grew with the time away, and a failed attempt was made again from the start: a page of up to 1 MiB takes 0.84 s on a link of 10 Mbit/s, but a call was given up after 0.8 s, though its answer was arriving. An entry with a faster link got its page, took the part for the whole, and waited for its next turn.

Evidence: 30 of 36 entries that had been cut off gave up in the body of a read of the same offset, 10 of them twice or more; 8 reads ended 2 to 6 records before the end.

Change: a read that ends before the end of the topic doesn't make the view current and is continued at once. In the operators' topic it continues with the newest record of each key. An entry that skipped in its own turn tells its peers the difference as one patch, and the set of data centres out of service.

TestPropertyChangesBeyondAPageAreKnownInTime fails before (views end at their page) and passes with 1,500 cases; it also found that a difference of the data centres out of service would mislead a peer that had read some of the skipped records.

--- a/gateway/overdue_test.go
+++ b/gateway/overdue_test.go
@@ -25,6 +25,7 @@
 type slowLink struct {
 	bytesPerSecond int
 	conns          chan net.Conn
+	closed         chan struct{}
 	// busy holds a value while a connection sends.
 	busy chan struct{}
 }
@@ -58,6 +59,8 @@
 	select {
 	case l.conns <- slowConn{server, l}:
 		return client, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -65,14 +68,16 @@
 
 // Accept implements [net.Listener].
 func (l *slowLink) Accept() (net.Conn, error) {
-	if c, ok := <-l.conns; ok {
+	select {
+	case c := <-l.conns:
 		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
 	}
-	return nil, net.ErrClosed
 }
 
 // Close implements [net.Listener].
-func (l *slowLink) Close() error { close(l.conns); return nil }
+func (l *slowLink) Close() error { close(l.closed); return nil }
 
 // Addr implements [net.Listener].
 func (l *slowLink) Addr() net.Addr { return &net.TCPAddr{} }
@@ -106,7 +111,7 @@
 					}
 					return standin.NoFault
 				})
-				link := &slowLink{bytesPerSecond: linkBytesPerSecond, conns: make(chan net.Conn), busy: make(chan struct{}, 1)}
+				link := &slowLink{bytesPerSecond: linkBytesPerSecond, conns: make(chan net.Conn), closed: make(chan struct{}), busy: make(chan struct{}, 1)}
 				srv := &http.Server{Handler: store, ErrorLog: runner.DiscardLogger()}
 				tasks.Go(func() { _ = srv.Serve(link) })
 				defer srv.Close()
--- a/tracker/news.go
+++ b/tracker/news.go
@@ -31,7 +31,7 @@
 	Changes []Change `cbor:"4,keyasint,omitempty"`
 }
 
-// Change is the change that one record makes. Exactly one field besides Offset is
+// Change is the change that one record makes, or several that were skipped. Exactly one field besides Offset is
 // set. The changes of a snapshot have no offset.
 type Change struct {
 	Offset     Offset               `cbor:"0,keyasint"`
@@ -42,6 +42,8 @@
 	Config   *router.Config `cbor:"3,keyasint,omitempty"`
 	Patch    *router.Patch  `cbor:"5,keyasint,omitempty"`
 	Evacuate *EvacuateMsg   `cbor:"4,keyasint,omitempty"`
+	// Evacuated replaces the set of data centres that are out of service.
+	Evacuated *EvacuatedMsg `cbor:"6,keyasint,omitempty"`
 }
 
 // newChange returns the change that a record makes. The configuration before the
@@ -62,6 +64,19 @@
 	return c
 }
 
+// orderChanges returns the changes from a former configuration to the current state of
+// the operators' topic, as of an offset.
+func (m *Model) orderChanges(prevConfig router.Config, offset Offset) []Change {
+	var changes []Change
+	if m.Config.Version != prevConfig.Version {
+		patch := m.Config.Patch(prevConfig)
+		changes = append(changes, Change{Offset: offset, Patch: &patch})
+	}
+	// The whole set, not the difference: a receiver that has read some of the records
+	// between may know of data centres that were out of service only meanwhile.
+	return append(changes, Change{Offset: offset, Evacuated: &EvacuatedMsg{DataCentres: m.Out}})
+}
+
 // msg returns the message that applies the change to a model, or nil for a kind of
 // change that this version of the program doesn't know.
 func (c Change) msg() Msg {
@@ -76,6 +91,8 @@
 		return PatchMsg{*c.Patch}
 	case c.Evacuate != nil:
 		return *c.Evacuate
+	case c.Evacuated != nil:
+		return *c.Evacuated
 	default:
 		return nil
 	}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -95,8 +95,10 @@
 	Topic Topic
 	// Full is set when the whole topic was read.
 	Full bool
-	// Next is the offset of the first record after those that were read.
-	Next Offset
+	// Next is the offset of the first record after those that were read, and End
+	// the offset after the last record of the topic. End is larger if the read
+	// returned only a part of the records.
+	Next, End Offset
 	// Asked is when the read began.
 	Asked time.Time
 	// Records holds the records in order of their offsets.
@@ -188,24 +190,52 @@
 	return time.Duration(m.random() * float64(limit))
 }
 
-// applyRead applies the result of a read. It broadcasts the changes unless the
-// read filled a gap in the peers' gossip.
+// applyRead applies the result of a read. It reads on if the read returned only a part
+// of the records, and then broadcasts the changes unless the read filled a gap in the
+// peers' gossip.
 func (m *Model) applyRead(msg ReadMsg, now time.Time) []Cmd {
 	v := &m.Views[msg.Topic]
 	v.Reading = false
-	if !msg.Full && msg.Next < v.Next {
+	if v.Known && msg.Next < v.Next {
 		// Gossip that arrived during the read has advanced the view further.
 		return nil
 	}
 	from := v.Next
+	// A full read skips ahead if it replaces the reading of many records.
+	skips := msg.Full && v.Known && msg.Topic == Orders
 	// After the first read, and after a read that filled a gap in the peers'
 	// gossip, the next turn remains with another entry.
-	mine := !msg.Full && (v.Mine || v.age(now) >= v.Turn)
-	m.advanceView(msg.Topic, msg.Next, msg.Asked, mine, now)
+	mine := (!msg.Full || skips) && (v.Mine || v.age(now) >= v.Turn)
+	complete, at := msg.Next >= msg.End, msg.Asked
+	if !complete {
+		at = v.At
+	}
+	m.advanceView(msg.Topic, msg.Next, at, mine, now)
+	cmds := m.applyContent(msg, from, skips, now)
+	if msg.Full && !skips {
+		v.windowOffsets, m.recentChanges[msg.Topic] = nil, nil
+	}
+	if !complete {
+		return append(cmds, m.readOn(msg.Topic, msg.Next > from))
+	}
+	m.slideWindow(msg.Topic)
+	if mine {
+		cmds = append(cmds, m.broadcast(msg.Topic, now)...)
+	}
+	return cmds
+}
+
+// applyContent applies the records from an offset on, or the state, that a read
+// returned, and adds the changes to those for gossip.
+func (m *Model) applyContent(msg ReadMsg, from Offset, skips bool, now time.Time) []Cmd {
 	var cmds []Cmd
+	prevConfig := m.Config
 	for _, inner := range msg.Msgs {
 		cmds = append(cmds, m.update(inner, now)...)
 	}
+	if skips && msg.Next > from {
+		m.recentChanges[msg.Topic] = append(m.recentChanges[msg.Topic], m.orderChanges(prevConfig, msg.Next-1)...)
+	}
 	for _, r := range msg.Records {
 		if r.Msg == nil || r.Offset < from {
 			continue
@@ -216,16 +246,17 @@
 			m.recentChanges[msg.Topic] = append(m.recentChanges[msg.Topic], newChange(r, prev))
 		}
 	}
-	if msg.Full {
-		v.windowOffsets, m.recentChanges[msg.Topic] = nil, nil
-	}
-	m.slideWindow(msg.Topic)
-	if mine {
-		cmds = append(cmds, m.broadcast(msg.Topic, now)...)
-	}
 	return cmds
 }
 
+// readOn continues a read that returned only a part of the records. Of the operators'
+// records only the newest of each key count, and each may be long: it skips to them. So
+// does a read that made no progress.
+func (m *Model) readOn(t Topic, progressed bool) Cmd {
+	m.Views[t].Reading = true
+	return ReadCmd{Topic: t, Full: t == Orders || !progressed, From: m.Views[t].Next}
+}
+
 // handleReadFailure starts a full read if the store has trimmed the records.
 // Otherwise it starts the backoff and asks a peer for the topic.
 func (m *Model) handleReadFailure(msg ReadFailedMsg, now time.Time) []Cmd {
--- a/tracker/view_test.go
+++ b/tracker/view_test.go
@@ -35,6 +35,9 @@
 	snapshotRequests int
 	// pending holds events that have not occurred yet.
 	pending []event
+	// pageRecords is the maximum number of records that a read returns; 0 for no
+	// limit.
+	pageRecords int
 	// storeLatency returns how long the store takes to answer a read.
 	storeLatency func() time.Duration
 }
@@ -121,15 +124,30 @@
 	if cmd.Topic == Orders {
 		records = f.operatorRecords
 	}
-	msg.Next = Offset(len(records))
+	msg.Next, msg.End = Offset(len(records)), Offset(len(records))
 	if !cmd.Full {
+		if f.pageRecords > 0 {
+			records = records[:min(len(records), int(cmd.From)+f.pageRecords)]
+			msg.Next = Offset(len(records))
+		}
 		for i := int(cmd.From); i < len(records); i++ {
 			msg.Records = append(msg.Records, ReadRecord{Offset: Offset(i), Msg: records[i]})
 		}
 		return msg
 	}
 	if cmd.Topic == Orders {
-		msg.Msgs = f.operatorRecords[max(0, len(f.operatorRecords)-1):]
+		evacuated := EvacuatedMsg{DataCentres: map[loader.DataCentreName]bool{}}
+		for _, record := range f.operatorRecords {
+			switch record := record.(type) {
+			case ConfigMsg:
+				msg.Msgs = []Msg{record}
+			case EvacuateMsg:
+				if evacuated.DataCentres[record.DataCentre] = true; !record.Out {
+					delete(evacuated.DataCentres, record.DataCentre)
+				}
+			}
+		}
+		msg.Msgs = append(msg.Msgs, evacuated)
 		return msg
 	}
 	newest := map[loader.TargetName]placer.Registration{}
@@ -357,6 +375,68 @@
 	})
 }
 
+// Changes of which a read returns only a few must be in force at all entries within
+// 2 s, also while more are made and gossip is lost, and without each entry reading them.
+func TestPropertyChangesBeyondAPageAreKnownInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "entries")
+		loss := rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "loss")
+		seed := rapid.Uint64().Draw(t, "seed")
+		f := newSimFleet(t, n)
+		f.operatorRecords = []Msg{ConfigMsg{manyRoutes(2)}}
+		f.targetRecords = []Msg{RegisterMsg{registration("a", 1, 1, loader.Active)}}
+		f.run(2 * time.Second)
+		f.pageRecords = rapid.IntRange(1, 4).Draw(t, "records in a page")
+		random := rand.New(rand.NewPCG(seed, 9))
+		f.dropsDatagram = func() bool { return random.Float64() < loss }
+		const interval, bound = 100 * time.Millisecond, 2 * time.Second
+		version := router.Version(2)
+		var versions []router.Version
+		out := map[loader.DataCentreName]bool{}
+		f.reads = 0
+		const steps = 30
+		for range steps {
+			version += router.Version(rapid.IntRange(1, 3).Draw(t, "step"))
+			versions = append(versions, version)
+			f.operatorRecords = append(f.operatorRecords, ConfigMsg{manyRoutes(version)})
+			f.targetRecords = append(f.targetRecords, RegisterMsg{registration("a", 1, uint64(version), loader.TargetState(version%2))})
+			if rapid.IntRange(0, 5).Draw(t, "evacuate") == 0 {
+				dc := loader.DataCentreName(rapid.SampledFrom([]string{"d1", "d2"}).Draw(t, "data centre"))
+				out[dc] = !out[dc]
+				f.operatorRecords = append(f.operatorRecords, EvacuateMsg{DataCentre: dc, Out: out[dc]})
+			}
+			f.run(interval)
+			if due := len(versions) - int(bound/interval); due >= 0 {
+				for i, m := range f.models {
+					if m.Config.Version < versions[due] {
+						t.Fatalf("entry %d of %d has version %d, want %d: %+v", i, n, m.Config.Version, versions[due], m.Views[Orders])
+					}
+				}
+			}
+		}
+		// Four turns of each topic in a second, of two reads of the operators' topic
+		// and of as many as the pages need of the other.
+		seconds, records := int(steps*interval/time.Second), len(f.targetRecords)
+		if most := 2 * (4*2*seconds + records/f.pageRecords + 4*seconds); loss == 0 && f.reads > most {
+			t.Fatalf("%d entries made %d reads, want at most %d", n, f.reads, most)
+		}
+		f.run(bound)
+		for i, m := range f.models {
+			if want := manyRoutes(version); !reflect.DeepEqual(want, m.Config) {
+				t.Fatalf("entry %d of %d (-want +got):\n%s", i, n, cmp.Diff(want, m.Config))
+			}
+			for _, dc := range []loader.DataCentreName{"d1", "d2"} {
+				if m.Out[dc] != out[dc] {
+					t.Fatalf("entry %d of %d: out is %v, want %v", i, n, m.Out, out)
+				}
+			}
+			if got := eligible(m)["a"]; got != (loader.TargetState(version%2) == loader.Active) {
+				t.Fatalf("entry %d of %d: target eligible: %v", i, n, got)
+			}
+		}
+	})
+}
+
 // A long configuration that is written when an outage ends must be in force at all
 // entries within 2 s, no matter when each entry retries its reads.
 func TestPropertyLongConfigurationIsKnownAfterAnOutage(t *testing.T) {
