--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"savoryroad.dev/loader"
 	"savoryroad.dev/platform"
 	"savoryroad.dev/platform/standin"
 )
@@ -84,7 +85,7 @@
 	f.t.Helper()
 	e := &entry{done: make(chan struct{})}
 	e.Gateway = New(platform.Settings{
-		Name: "entry", DataCentre: "home",
+		Name: loader.EntryName("entry-" + ip.String()), DataCentre: "home",
 		Listen:    netip.AddrPortFrom(ip, callerPort),
 		Readiness: netip.AddrPortFrom(ip, readinessPort),
 		PeerPorts: [2]uint16{peerPort, peerPort},
