Keep to the limit that a target names

What callers saw: nothing yet; a target in need that named a limit of 3.6 requests a second kept getting 9.

Cause: entries didn't know the header Server-Limit. It passed through them to callers.

Change: an entry reads the limit from answers to requests and to health checks and sends within its quotas of it, which its share of the fleet gives it, as for cold targets: the bursts of all quotas and the named rate stay within the limit. A new owner of a partition waits until a former one has renewed its share. Most entries of a large fleet would be told too late, so those that were told spread the limit as gossip: at once, and again while it holds. An entry that may not send doesn't probe such a target; if it hears nothing for 10 s to 60 s it asks with one request. A request is refused at once if all targets of its service name limits that allow nothing before its deadline.

Why it works: the quotas of all entries add up to what the target named, in every fleet and over restarts, freezes, cuts and new divisions of the partitions, without a message for a request.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -127,6 +127,7 @@
 				g.update(ctx, suspended)
 			}
 			msg = tracker.TickMsg{Peers: g.gossiper.Count()}
+			g.spreadLimits(time.Now())
 			if now := time.Now(); now.Sub(lastIdleCheck) >= idleCheckInterval {
 				lastIdleCheck = now
 				for _, s := range g.snapshot.Load().services {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,7 +67,9 @@
 	// storeReads counts the reads of the store, storeReadFailures those of them that
 	// failed, and storeReadsPartial those that left records behind.
 	storeReads, storeReadFailures, storeReadsPartial metrics.Counter
-	gossiper                                         *gossiper.Gossiper
+	// limitChanges counts the changes of targets' limits.
+	limitChanges metrics.Counter
+	gossiper     *gossiper.Gossiper
 	// buffers bounds the memory of response bodies; nil means no bound.
 	buffers *transporter.Buffers
 
@@ -141,6 +143,7 @@
 	g.storeReads = g.recorder.Counter("store_reads_total")
 	g.storeReadFailures = g.recorder.Counter("store_read_failures_total")
 	g.storeReadsPartial = g.recorder.Counter("store_reads_partial_total")
+	g.limitChanges = g.recorder.Counter("target_limit_changes_total")
 	g.snapshot.Store(&snapshot{})
 	g.bounds.Store(&p.Bounds)
 	g.calls, g.endCalls = context.WithCancel(context.Background())
--- a/gateway/look.go
+++ b/gateway/look.go
@@ -133,6 +133,7 @@
 	report := placer.Report{Ill: a.Status != http.StatusOK}
 	report.Load, report.HasLoad = platform.Load(a.Header)
 	report.Warmup, report.HasWarmup = platform.Warmup(a.Header)
+	report.Limit = limitReport(a.Header, a.Status == http.StatusOK)
 	s.placer.Report(t, report, now)
 	if conn.Spoiled() {
 		conn.Close()
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -22,11 +22,15 @@
 	discoveryFanout = 2
 )
 
-// handlePeerMessage forwards a peer's message to the control loop.
+// handlePeerMessage applies what a peer tells of targets' limits, and forwards the rest
+// of its message to the control loop.
 func (g *Gateway) handlePeerMessage(from netip.Addr, m gossiper.Message) {
 	if m.Ask != nil {
 		g.dispatch(tracker.AskMsg{Peer: from, Ask: *m.Ask})
 	}
+	if len(m.Limits) > 0 {
+		g.hearLimits(m.Limits, time.Now())
+	}
 	if m.News != nil {
 		g.dispatch(tracker.NewsMsg{News: *m.News})
 	}
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -30,6 +30,9 @@
 			if c.g.stopping.Load() {
 				return selection{}, refused{reason: "entry is stopping", retryAfter: retryAfter(0), earliestAnswer: earliest}
 			}
+			if c.isWithheld(time.Now()) {
+				return selection{}, newRefused(q.Refusal(ticket, time.Now()), earliest)
+			}
 			verdict = q.NoRoom(ticket, sel.choice.RoomIn, time.Now())
 		case admitter.Wait:
 			if v.LookAfter > 0 {
@@ -48,6 +51,14 @@
 	}
 }
 
+// isWithheld reports whether the limits that all targets of the service have named keep
+// this entry from sending the call before its deadline.
+func (c *call) isWithheld(now time.Time) bool {
+	wait, allowed := c.service.placer.LimitedFor(now)
+	r := c.admission(now)
+	return !allowed || now.Add(wait+r.Work).After(r.Deadline) && wait > 0
+}
+
 // lookInterval returns the time until waiting requests look for a target again: d, or
 // longer while the limit on health checks is used up, of which each look sends at least
 // two.
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -26,6 +26,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"savoryroad.dev/placer"
 	"savoryroad.dev/tracker"
 )
 
@@ -61,6 +62,8 @@
 	News *tracker.News `cbor:"5,keyasint,omitempty"`
 	// Ask requests the receiver's state of a topic of the store.
 	Ask *tracker.Ask `cbor:"7,keyasint,omitempty"`
+	// Limits are the limits that targets have named or no longer name.
+	Limits []placer.LimitNews `cbor:"8,keyasint,omitempty"`
 }
 
 // Gossiper sends and receives messages and keeps the peer list. It is safe for
--- a/limiter/quota.go
+++ b/limiter/quota.go
@@ -33,8 +33,22 @@
 	return float64(len(s.Owned)) / float64(s.Total)
 }
 
-// ColdLimit limits the requests that a cold target gets from the whole fleet.
-// It is divided into equal quotas, which partitions carry.
+// FleetLimit limits the requests that a target gets from the whole fleet: ColdLimit or
+// NamedLimit. It is divided into equal quotas, which partitions carry.
+type FleetLimit interface {
+	// quotas returns the number of quotas of a target, which is at least one and
+	// also bounds the number of entries that may send to it. It is the largest
+	// number for which the bursts of all quotas and the rate together stay within
+	// the limit.
+	quotas() int
+	// rate is the rate of all quotas together, in requests per second.
+	rate() float64
+	// settling is how long a new owner of a partition waits before it uses the
+	// partition's quotas.
+	settling() time.Duration
+}
+
+// ColdLimit limits the requests to a cold target.
 type ColdLimit struct {
 	// Rate is the rate that the target sustains, in requests per second.
 	Rate float64
@@ -42,19 +56,43 @@
 	Peak float64
 }
 
-// quotas returns the number of quotas of a cold target, which is at least one
-// and also bounds the number of entries that may send to it. It is the largest
-// number for which the bursts of all quotas and the rate together stay within
-// the peak.
 func (l ColdLimit) quotas() int {
 	return max(1, int(math.Floor((safetyFactor*l.Peak-l.Rate)/quotaBurst)))
 }
 
+func (l ColdLimit) rate() float64 { return l.Rate }
+
+// settling implements [FleetLimit]. The former owner may have used the quota within the
+// same second.
+func (ColdLimit) settling() time.Duration { return time.Second }
+
+// NamedLimit is the rate, in requests per second, that a target has named as the most
+// that it takes. In any namedWindow it tolerates namedExcess times of that, and
+// namedSlack requests.
+type NamedLimit float64
+
+const (
+	namedWindow = 4 * time.Second
+	namedExcess = 1.5
+	namedSlack  = 5
+	// namedSettling is longer than the time between two renewals of a share: by then
+	// a former owner knows that partitions were dealt anew.
+	namedSettling = 5 * time.Second
+)
+
+func (l NamedLimit) quotas() int {
+	rate := float64(l) * namedWindow.Seconds()
+	return max(1, int(math.Floor((safetyFactor*(namedExcess*rate+namedSlack)-rate)/quotaBurst)))
+}
+
+func (l NamedLimit) rate() float64 { return float64(l) }
+
+func (NamedLimit) settling() time.Duration { return namedSettling }
+
 // Quotas returns how many of a target's quotas the entry owns at a given time.
 // The target's name determines which partitions carry them. Partitions that the
-// entry has owned for less than a second don't count, since their former owner
-// may have used the quota within the same second.
-func (s Share) Quotas(target string, limit ColdLimit, now time.Time) int {
+// entry has owned for less than the settling time of the limit don't count.
+func (s Share) Quotas(target string, limit FleetLimit, now time.Time) int {
 	if s.Total == 0 || s.expired(now) {
 		return 0
 	}
@@ -66,34 +104,54 @@
 	for i := range n {
 		// The quotas are spread evenly over the partitions.
 		partition := int((offset + uint64(i*s.Total/n)) % uint64(s.Total))
-		if since, ok := s.Owned[partition]; ok && now.Sub(since) >= time.Second {
+		if since, ok := s.Owned[partition]; ok && now.Sub(since) >= limit.settling() {
 			owned++
 		}
 	}
 	return owned
 }
 
-// TokenBucket limits an entry's requests to one cold target to the quotas that
-// the entry owns. It is not safe for concurrent use.
+// TokenBucket limits an entry's requests to one target to the quotas that the entry
+// owns. It is not safe for concurrent use.
 type TokenBucket struct {
 	// tokens is the number of requests that are allowed now.
 	tokens     float64
 	refilledAt time.Time
 }
 
-// Refill adds the tokens for the time since the last call. A new bucket is
+// NewEmptyBucket returns a bucket without tokens.
+func NewEmptyBucket(now time.Time) TokenBucket { return TokenBucket{refilledAt: now} }
+
+// Refill adds the tokens for the time since the last call. The zero bucket is
 // full.
-func (b *TokenBucket) Refill(limit ColdLimit, quotas int, now time.Time) {
+func (b *TokenBucket) Refill(limit FleetLimit, quotas int, now time.Time) {
 	burst := float64(quotas * quotaBurst)
 	if b.refilledAt.IsZero() {
 		b.tokens = burst
 	} else {
-		rate := limit.Rate * float64(quotas) / float64(limit.quotas())
-		b.tokens = min(burst, b.tokens+rate*now.Sub(b.refilledAt).Seconds())
+		b.tokens = min(burst, b.tokens+tokenRate(limit, quotas)*now.Sub(b.refilledAt).Seconds())
 	}
 	b.refilledAt = now
 }
 
+// tokenRate returns the rate of a number of quotas, in requests per second.
+func tokenRate(limit FleetLimit, quotas int) float64 {
+	return limit.rate() * float64(quotas) / float64(limit.quotas())
+}
+
+// NextToken returns the time until a request is allowed. It returns false if none will
+// be with these quotas.
+func (b *TokenBucket) NextToken(limit FleetLimit, quotas int) (time.Duration, bool) {
+	if b.HasToken() {
+		return 0, true
+	}
+	rate := tokenRate(limit, quotas)
+	if rate <= 0 {
+		return 0, false
+	}
+	return time.Duration((1 - b.tokens) / rate * float64(time.Second)), true
+}
+
 // HasToken tells whether a request is allowed.
 func (b *TokenBucket) HasToken() bool { return b.tokens >= 1 }
 
--- a/placer/candidate.go
+++ b/placer/candidate.go
@@ -24,7 +24,7 @@
 	n = min(n, maxCandidates)
 	preferred, others := shortlist{capacity: n}, shortlist{capacity: n}
 	for _, t := range targets {
-		if now.Before(t.backoffUntil) || slices.Contains(d.Tried, t) {
+		if now.Before(t.backoffUntil) || slices.Contains(d.Tried, t) || s.isWithheld(t, now) {
 			continue
 		}
 		c := candidate{target: t, rank: uint64(t.penalty(now))<<32 | uint64(s.rand.Uint32())}
@@ -95,7 +95,7 @@
 }
 
 // penalty counts the signs that a target would serve a request badly: a failed
-// health check, which counts twice, a warm-up, failures and slowness.
+// health check, which counts twice, a warm-up, a limit, failures and slowness.
 func (t *Target) penalty(now time.Time) int {
 	n := 0
 	if t.unhealthy {
@@ -104,6 +104,9 @@
 	if now.Before(t.coldUntil) {
 		n++
 	}
+	if t.limit.named {
+		n++
+	}
 	// Decay never brings a value above its threshold, so most targets don't
 	// need it computed.
 	if t.failureRate > outlierFailureRate || t.slowness > outlierSlowness {
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -62,9 +62,12 @@
 // admits tells whether a target has room for one more request. As many requests
 // as it has slots may wait there: they start after about the processing time of
 // one request, and the other half of the target's queue is left to the requests
-// that other entries send at the same time. A cold target also needs a token
-// of the entry's bucket.
+// that other entries send at the same time. A cold target, and one that has named a
+// limit, also needs a token of the entry's bucket.
 func (s *Service) admits(t *Target, now time.Time) bool {
+	if !s.takesLimited(t, now) {
+		return false
+	}
 	if now.Before(t.coldUntil) {
 		quotas := s.share.Quotas(string(t.Name), s.coldLimit, now)
 		t.bucket.Refill(s.coldLimit, quotas, now)
--- a/placer/dump.go
+++ b/placer/dump.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"savoryroad.dev/limiter"
 	"savoryroad.dev/loader"
 )
 
@@ -28,6 +29,8 @@
 	// AvoidedFor is the rest of the backoff after the target could not be
 	// reached; empty if there is none.
 	AvoidedFor string `json:",omitempty"`
+	// Limit is the limit that the target names, in requests per second; nil for none.
+	Limit *limiter.NamedLimit `json:",omitempty"`
 }
 
 // Dump returns the state of all targets, sorted by name.
@@ -43,6 +46,10 @@
 			d.LoadAge = now.Sub(t.reportedAt).String()
 		}
 		d.ColdFor, d.AvoidedFor = remaining(t.coldUntil, now), remaining(t.backoffUntil, now)
+		if t.limit.named {
+			perSecond := t.limit.perSecond
+			d.Limit = &perSecond
+		}
 		states = append(states, d)
 	}
 	return states
--- /dev/null
+++ b/placer/limit.go
@@ -0,0 +1,206 @@
+package placer
+
+import (
+	"math"
+	"time"
+
+	"savoryroad.dev/limiter"
+	"savoryroad.dev/loader"
+)
+
+// A target in need names in its answers the rate of requests that it takes from the
+// whole fleet. Most entries of a large fleet send too seldom to one target to be told
+// by its answers in time, so the entries that were told spread it among their peers:
+// at once if it changes, and again from time to time as long as the target says so.
+// All entries keep to it, each within the quotas that its share of the fleet gives it,
+// until an answer or a peer says that it has ended. An entry that hears nothing for long
+// asks with a single request.
+const (
+	// limitRefresh is the time after which an entry that is still told spreads a
+	// limit again, unless another entry has.
+	limitRefresh = 1500 * time.Millisecond
+	// maxToldAge is how long after an answer its limit may be spread.
+	maxToldAge = 1 * time.Second
+	// limitRecheck is the time without any confirmation after which an entry asks a
+	// target again that it may not send to.
+	limitRecheck = 3 * time.Second
+	// minTrialDelay is the least time without confirmation after which an entry asks
+	// with a request that its quotas don't allow, and trialRequests the number of
+	// requests at the rate of the limit for which it waits, if they take longer. Each
+	// entry adds up to as much again, so that they don't all ask at once.
+	minTrialDelay = 10 * time.Second
+	maxTrialDelay = 30 * time.Second
+	trialRequests = 3
+)
+
+// LimitReport is what an answer of a target says of its limit.
+type LimitReport struct {
+	// Named is set if the answer names a limit, and PerSecond is its rate.
+	Named     bool
+	PerSecond limiter.NamedLimit
+	// Conclusive is set if an answer that names none shows that there is none any
+	// more.
+	Conclusive bool
+}
+
+// LimitNews tells other entries of the limit of a target.
+type LimitNews struct {
+	Service loader.ServiceName `cbor:"0,keyasint"`
+	Target  loader.TargetName  `cbor:"1,keyasint"`
+	// Born identifies the start of the target.
+	Born int64 `cbor:"2,keyasint"`
+	// Named is unset if the target no longer names a limit.
+	Named     bool               `cbor:"3,keyasint,omitempty"`
+	PerSecond limiter.NamedLimit `cbor:"4,keyasint,omitempty"`
+	// Changed is set if the entry that sends it was told of a change.
+	Changed bool `cbor:"-"`
+}
+
+// targetLimit is the limit that a target names, as far as an entry knows.
+type targetLimit struct {
+	// named is set while the target is known to name a limit.
+	named     bool
+	perSecond limiter.NamedLimit
+	bucket    limiter.TokenBucket
+	// confirmedAt is when an answer or a peer last told of the limit, toldAt when an
+	// answer last did, and spreadAt when this entry or a peer last spread it.
+	confirmedAt, toldAt, spreadAt time.Time
+	// inHealth is set once an answer to a health check has named the limit.
+	inHealth bool
+	// changed is set if an answer has told of a change since spreadAt.
+	changed bool
+	// trial is set if one request may be sent beyond the quotas. It counts as a
+	// confirmation, so that the next trial is due after the same time.
+	trial bool
+}
+
+// trialDelay returns the time without confirmation after which a request is sent as a
+// trial. The fraction, from 0 to 1, differs between entries.
+func (l *targetLimit) trialDelay(fraction float64) time.Duration {
+	d := maxTrialDelay
+	if float64(l.perSecond)*maxTrialDelay.Seconds() > trialRequests {
+		d = max(minTrialDelay, time.Duration(trialRequests/float64(l.perSecond)*float64(time.Second)))
+	}
+	return d + time.Duration(fraction*float64(d))
+}
+
+// set applies what is known of the limit. A limit that is new begins without tokens.
+func (l *targetLimit) set(named bool, perSecond limiter.NamedLimit, now time.Time) {
+	if named && !l.named {
+		l.bucket = limiter.NewEmptyBucket(now)
+	}
+	l.named, l.perSecond, l.confirmedAt, l.trial = named, perSecond, now, false
+}
+
+// noteLimit records what an answer of a target says of its limit.
+func (s *Service) noteLimit(t *Target, r LimitReport, fromHealth bool, now time.Time) {
+	l := &t.limit
+	switch {
+	case r.Named:
+		l.inHealth = l.inHealth || fromHealth
+	case !l.named, !r.Conclusive, fromHealth && !l.inHealth:
+		return
+	}
+	l.toldAt = now
+	l.changed = l.changed || l.named != r.Named || l.perSecond != r.PerSecond
+	l.set(r.Named, r.PerSecond, now)
+	s.limited[t] = true
+}
+
+// HearLimit records what a peer tells of the limit of a target. It returns false if
+// that was known.
+func (s *Service) HearLimit(n LimitNews, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[n.Target]
+	if t == nil || t.startedMs != n.Born || !(n.PerSecond >= 0) {
+		return false
+	}
+	l := &t.limit
+	changed := l.named != n.Named || l.perSecond != n.PerSecond
+	if !l.named && !n.Named {
+		return false
+	}
+	l.set(n.Named, n.PerSecond, now)
+	l.spreadAt, l.changed = now, false
+	s.limited[t] = true
+	return changed
+}
+
+// LimitNews returns what peers should be told of the limits of targets, and allows the
+// trials that are due.
+func (s *Service) LimitNews(now time.Time) []LimitNews {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var news []LimitNews
+	for t := range s.limited {
+		l := &t.limit
+		// A process that was paused doesn't spread what it was told before.
+		fresh := now.Sub(l.toldAt) <= maxToldAge && l.toldAt.After(l.spreadAt)
+		if fresh && (l.changed || l.named && now.Sub(l.spreadAt) >= limitRefresh) {
+			news = append(news, LimitNews{Service: s.name, Target: t.Name, Born: t.startedMs, Named: l.named, PerSecond: l.perSecond, Changed: l.changed})
+			l.spreadAt, l.changed = now, false
+		}
+		if l.named && now.Sub(l.confirmedAt) >= l.trialDelay(float64(t.affinity)/math.MaxUint64) {
+			l.trial, l.confirmedAt = true, now
+		}
+		if !l.named || s.targets[t.Name] != t {
+			delete(s.limited, t)
+		}
+	}
+	return news
+}
+
+// takesLimited tells whether the limit of a target allows one more request of this
+// entry now.
+func (s *Service) takesLimited(t *Target, now time.Time) bool {
+	if !t.limit.named || t.limit.trial {
+		return true
+	}
+	t.limit.bucket.Refill(t.limit.perSecond, s.limitQuotas(t, now), now)
+	return t.limit.bucket.HasToken()
+}
+
+// takeLimited counts a request for which takesLimited returned true.
+func (l *targetLimit) takeLimited() {
+	switch {
+	case !l.named:
+	case l.trial:
+		l.trial = false
+	default:
+		l.bucket.Take()
+	}
+}
+
+// limitQuotas returns the number of quotas of a target's limit that the entry owns.
+func (s *Service) limitQuotas(t *Target, now time.Time) int {
+	return s.share.Quotas(string(t.Name), t.limit.perSecond, now)
+}
+
+// isWithheld tells whether a target isn't worth a health check, because its limit
+// allows no request of this entry and was confirmed lately.
+func (s *Service) isWithheld(t *Target, now time.Time) bool {
+	return !s.takesLimited(t, now) && now.Sub(t.limit.confirmedAt) < limitRecheck
+}
+
+// LimitedFor returns the time until the limits of the targets allow a request of this
+// entry; 0 if a target has none. It returns false if they never will while the entry
+// has the same share of the fleet.
+func (s *Service) LimitedFor(now time.Time) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.limited) < len(s.targets) || len(s.targets) == 0 {
+		return 0, true
+	}
+	var least time.Duration
+	allowed := false
+	for _, t := range s.targets {
+		if s.takesLimited(t, now) {
+			return 0, true
+		}
+		if d, ok := t.limit.bucket.NextToken(t.limit.perSecond, s.limitQuotas(t, now)); ok && (!allowed || d < least) {
+			least, allowed = d, true
+		}
+	}
+	return least, allowed
+}
--- /dev/null
+++ b/placer/limit_test.go
@@ -0,0 +1,270 @@
+package placer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"savoryroad.dev/limiter"
+	"savoryroad.dev/loader"
+)
+
+// limitedFleet simulates entries that send to one target as often as they may, and the
+// group that divides the partitions among them.
+type limitedFleet struct {
+	now        time.Time
+	partitions int
+	limit      limiter.NamedLimit
+	entries    []*limitedEntry
+	random     *rand.Rand
+	// inHealth is set if answers to health checks name the limit.
+	inHealth bool
+}
+
+type limitedEntry struct {
+	service *Service
+	// owned holds the partitions that the group has assigned to the entry, and known
+	// those that the entry knows of.
+	owned map[int]bool
+	known map[int]time.Time
+	// renewAt is when the entry renews its share, until when its share ends then.
+	renewAt, until time.Time
+	// frozenUntil and cutUntil are the ends of faults, and excusedUntil when the
+	// entry counts again. toldAt is when an answer first named the limit.
+	frozenUntil, cutUntil, excusedUntil, toldAt time.Time
+}
+
+const (
+	limitedTarget  = loader.TargetName("limited")
+	renewInterval  = 4 * time.Second
+	membershipTime = 12 * time.Second
+	contact        = 3 * time.Second
+)
+
+// start replaces an entry by a new process that knows nothing.
+func (f *limitedFleet) start(e *limitedEntry) {
+	e.service = New("s", "here", f.random.Uint64())
+	e.service.SetTargets([]Usable{{Registration: Registration{Name: limitedTarget, DataCentre: "here", Slots: 1000}}})
+	e.known, e.renewAt, e.toldAt = map[int]time.Time{}, f.now, time.Time{}
+}
+
+// deal divides the partitions anew.
+func (f *limitedFleet) deal() {
+	for _, e := range f.entries {
+		e.owned = map[int]bool{}
+	}
+	for i, p := range f.random.Perm(f.partitions) {
+		f.entries[i%len(f.entries)].owned[p] = true
+	}
+}
+
+// renew renews the share of an entry.
+func (f *limitedFleet) renew(e *limitedEntry) {
+	known := map[int]time.Time{}
+	for p := range e.owned {
+		since, ok := e.known[p]
+		if !ok {
+			since = f.now
+		}
+		known[p] = since
+	}
+	e.known, e.until = known, f.now.Add(membershipTime)
+	e.renewAt = f.now.Add(time.Duration((0.8 + 0.2*f.random.Float64()) * float64(renewInterval)))
+	e.service.SetShare(limiter.Share{Total: f.partitions, Owned: known, Until: e.until})
+}
+
+// step lets 10 ms pass. It returns how many requests counted entries sent.
+func (f *limitedFleet) step() (counted, all int) {
+	f.now = f.now.Add(10 * time.Millisecond)
+	var news []LimitNews
+	for _, e := range f.entries {
+		if f.now.Before(e.frozenUntil) {
+			continue
+		}
+		if !f.now.Before(e.renewAt) && !f.now.Before(e.cutUntil) {
+			f.renew(e)
+		}
+		if !f.now.Before(e.cutUntil) {
+			news = append(news, e.service.LimitNews(f.now)...)
+		}
+		t := e.service.targets[limitedTarget]
+		if f.random.IntN(20) == 0 {
+			e.service.Report(t, Report{Limit: f.report(f.inHealth)}, f.now)
+		}
+		for range 2 {
+			if f.random.IntN(4) != 0 || !e.service.Start(t, f.now) {
+				continue
+			}
+			all++
+			if !e.toldAt.IsZero() && f.now.Sub(e.toldAt) >= 500*time.Millisecond && !f.now.Before(e.excusedUntil) {
+				counted++
+			}
+			e.service.Finish(t, Result{Answered: true, Limit: f.report(true)}, f.now)
+			if f.limit > 0 && e.toldAt.IsZero() {
+				e.toldAt = f.now
+			}
+		}
+	}
+	for _, e := range f.entries {
+		for _, n := range news {
+			if !f.now.Before(e.frozenUntil) && !f.now.Before(e.cutUntil) && f.random.IntN(20) > 0 {
+				e.service.HearLimit(n, f.now)
+			}
+		}
+	}
+	return counted, all
+}
+
+// report is what an answer of the target says.
+func (f *limitedFleet) report(named bool) LimitReport {
+	if f.limit > 0 && named {
+		return LimitReport{Named: true, PerSecond: f.limit}
+	}
+	return LimitReport{Conclusive: true}
+}
+
+// harm lets a fault begin at an entry, or changes the group.
+func (f *limitedFleet) harm(t *rapid.T) {
+	e := f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry")]
+	d := time.Duration(rapid.IntRange(1, 15).Draw(t, "seconds")) * time.Second
+	switch rapid.IntRange(0, 4).Draw(t, "fault") {
+	case 0:
+		f.start(e)
+		e.excusedUntil = f.now.Add(contact)
+	case 1:
+		e.frozenUntil = f.now.Add(d)
+		e.excusedUntil = e.frozenUntil.Add(contact)
+	case 2:
+		e.cutUntil = f.now.Add(d)
+		e.excusedUntil = e.cutUntil.Add(contact)
+	case 3:
+		f.deal()
+	case 4:
+		// All processes end at once.
+		for _, e := range f.entries {
+			f.start(e)
+			e.excusedUntil = f.now.Add(contact)
+		}
+	}
+}
+
+// Entries that were told of a target's limit must send no more than it allows in any
+// 4 s, all together, through restarts, freezes, cuts and changes of the group, in small
+// and large fleets. Without such faults the target gets at least half of what it takes.
+func TestPropertyLimitHoldsOverTheFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &limitedFleet{
+			now: now, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+			inHealth: rapid.Bool().Draw(t, "in health checks"),
+		}
+		f.partitions = rapid.SampledFrom([]int{240, 480}).Draw(t, "partitions")
+		f.entries = make([]*limitedEntry, rapid.SampledFrom([]int{1, 3, 16, 119, 312}).Draw(t, "entries"))
+		for i := range f.entries {
+			f.entries[i] = &limitedEntry{}
+			f.start(f.entries[i])
+		}
+		f.deal()
+		for range 600 {
+			f.step()
+		}
+		f.limit = limiter.NamedLimit(rapid.Float64Range(0.3, 12).Draw(t, "limit"))
+		faults := rapid.Bool().Draw(t, "faults")
+		const steps = 2000
+		counts := make([]int, steps)
+		settled := 0
+		for i := range steps {
+			if faults && i%150 == 0 {
+				f.harm(t)
+			}
+			counted, all := f.step()
+			counts[i] = counted
+			if i >= steps/2 {
+				settled += all
+			}
+		}
+		const from, window = 300, 400
+		most := int(1.5*float64(f.limit)*4 + 5)
+		for i := from; i+window <= steps; i++ {
+			n := 0
+			for _, c := range counts[i : i+window] {
+				n += c
+			}
+			if n > most {
+				t.Fatalf("%d requests in 4 s at a limit of %.1f by %d entries, allowed %d", n, f.limit, len(f.entries), most)
+			}
+		}
+		if least := int(0.5 * float64(f.limit) * steps / 2 / 100); !faults && settled < least {
+			t.Fatalf("%d requests in %d s at a limit of %.1f by %d entries, want %d", settled, steps/200, f.limit, len(f.entries), least)
+		}
+		rate := f.limit
+		f.limit = 0
+		for range 500 {
+			f.step()
+		}
+		keeping := 0
+		for _, e := range f.entries {
+			if e.service.targets[limitedTarget].limit.named {
+				keeping++
+			}
+		}
+		if !faults && rate >= 2 && keeping > len(f.entries)/5 {
+			t.Fatalf("%d of %d entries keep to a limit 5 s after its end", keeping, len(f.entries))
+		}
+		f.now = f.now.Add(2 * maxTrialDelay)
+		for range 100 {
+			f.step()
+		}
+		for i, e := range f.entries {
+			if e.service.targets[limitedTarget].limit.named {
+				t.Fatalf("entry %d keeps to a limit %v after its end", i, 2*maxTrialDelay)
+			}
+		}
+	})
+}
+
+func TestLimitedForIsKnownAtOnce(t *testing.T) {
+	share := limiter.Share{Total: 24, Owned: map[int]time.Time{}}
+	for p := range share.Total {
+		share.Owned[p] = now.Add(-time.Hour)
+	}
+	for _, c := range []struct {
+		name    string
+		limits  []limiter.NamedLimit
+		share   limiter.Share
+		want    time.Duration
+		allowed bool
+	}{
+		{"no limits", []limiter.NamedLimit{-1, -1}, share, 0, true},
+		{"one target without", []limiter.NamedLimit{0, -1}, share, 0, true},
+		{"all take none", []limiter.NamedLimit{0, 0}, share, 0, false},
+		{"no share", []limiter.NamedLimit{4, 4}, limiter.Share{Total: 1}, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New("s", "here", 1)
+			s.SetShare(c.share)
+			var usable []Usable
+			for i := range c.limits {
+				usable = append(usable, Usable{Registration: Registration{Name: loader.TargetName(fmt.Sprint("t", i)), DataCentre: "here", Slots: 2}})
+			}
+			s.SetTargets(usable)
+			for i, limit := range c.limits {
+				if limit >= 0 {
+					s.Report(s.targets[usable[i].Name], Report{Limit: LimitReport{Named: true, PerSecond: limit}}, now)
+				}
+			}
+			if got, allowed := s.LimitedFor(now); got != c.want || allowed != c.allowed {
+				t.Errorf("%v, %v, want %v, %v", got, allowed, c.want, c.allowed)
+			}
+		})
+	}
+	s := New("s", "here", 1)
+	s.SetShare(share)
+	s.SetTargets([]Usable{{Registration: Registration{Name: "t", DataCentre: "here", Slots: 2}}})
+	s.Report(s.targets["t"], Report{Limit: LimitReport{Named: true, PerSecond: 4}}, now)
+	if d, allowed := s.LimitedFor(now); !allowed || d <= 0 || d > time.Second {
+		t.Errorf("a token of 4 a second is due in %v, %v", d, allowed)
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -96,6 +96,9 @@
 	mu      sync.Mutex
 	rand    *rand.Rand
 	targets map[loader.TargetName]*Target
+	// limited holds the targets whose limits may have to be told or forgotten. It
+	// includes all that are known to name one.
+	limited map[*Target]bool
 	// near and far hold the targets that may get requests, by locality.
 	near, far []*Target
 	coldLimit limiter.ColdLimit
@@ -129,6 +132,7 @@
 	// coldUntil is the time at which the target's warm-up ends.
 	coldUntil time.Time
 	bucket    limiter.TokenBucket
+	limit     targetLimit
 	// slowness is the time that requests took as a multiple of the expected
 	// time, and failureRate the fraction of them that failed. Both are
 	// weighted averages as of recordedAt and decay towards 1 and 0.
@@ -151,6 +155,7 @@
 		seed:            seed,
 		rand:            rand.New(rand.NewPCG(seed, 0)),
 		targets:         map[loader.TargetName]*Target{},
+		limited:         map[*Target]bool{},
 		processingTimes: map[loader.RouteName]float64{},
 	}
 }
@@ -243,6 +248,7 @@
 	if r.HasWarmup {
 		t.coldUntil = now.Add(r.Warmup)
 	}
+	s.noteLimit(t, r.Limit, true, now)
 }
 
 // Report is the answer to a health check.
@@ -255,6 +261,7 @@
 	HasWarmup bool
 	// Warmup is the rest of the warm-up.
 	Warmup time.Duration
+	Limit  LimitReport
 }
 
 // Miss records that a target did not answer a health check or could not be
@@ -335,6 +342,7 @@
 	if now.Before(t.coldUntil) {
 		t.bucket.Take()
 	}
+	t.limit.takeLimited()
 	t.outstanding++
 	t.sentSinceReport++
 	return true
@@ -351,6 +359,7 @@
 	// Took is the time from the send to the answer, and Expected the one that
 	// was predicted at the send.
 	Took, Expected time.Duration
+	Limit          LimitReport
 }
 
 // Finish records the end of a request for which Start returned true.
@@ -359,6 +368,7 @@
 	defer s.mu.Unlock()
 	t.outstanding--
 	t.sentSinceReport = max(0, t.sentSinceReport-1)
+	s.noteLimit(t, r.Limit, false, now)
 	s.recordOutcome(t, r, now)
 }
 
