Use high named limits in full

Cause: a limit of more than 214 requests a second has more quotas than the fleet has partitions. Those that no partition carries were counted in the rate of each, so the fleet used 217 of 1,000 requests a second. Change: a named limit has at most 200 quotas.

--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -179,3 +179,23 @@
 		}
 	}
 }
+
+// The quotas of all partitions must add up to the rate that a target names, also if it
+// is high, and to no more than it tolerates.
+func TestNamedLimitIsUsedInFull(t *testing.T) {
+	for _, limit := range []NamedLimit{0, 0.2, 1, 3.6, 50, 1000, 1e30} {
+		for _, total := range []int{240, 480} {
+			share := Share{Total: total, Owned: map[int]time.Time{}}
+			for p := range total {
+				share.Owned[p] = start.Add(-time.Hour)
+			}
+			quotas := share.Quotas("target", limit, start)
+			if got := tokenRate(limit, quotas); got < float64(limit)*0.999 || got > float64(limit)*1.001 {
+				t.Errorf("limit %v over %d partitions: rate %v", limit, total, got)
+			}
+			if most := 1.5*4*float64(limit) + 5; float64(quotas)+4*float64(limit) > most {
+				t.Errorf("limit %v: %d quotas", limit, quotas)
+			}
+		}
+	}
+}
--- a/limiter/quota.go
+++ b/limiter/quota.go
@@ -78,11 +78,14 @@
 	// namedSettling is longer than the time between two renewals of a share: by then
 	// a former owner knows that partitions were dealt anew.
 	namedSettling = 5 * time.Second
+	// maxNamedQuotas is less than the number of partitions of a fleet, so that the
+	// quotas that partitions carry add up to the whole rate.
+	maxNamedQuotas = 200
 )
 
 func (l NamedLimit) quotas() int {
 	rate := float64(l) * namedWindow.Seconds()
-	return max(1, int(math.Floor((safetyFactor*(namedExcess*rate+namedSlack)-rate)/quotaBurst)))
+	return int(min(maxNamedQuotas, max(1, math.Floor((safetyFactor*(namedExcess*rate+namedSlack)-rate)/quotaBurst))))
 }
 
 func (l NamedLimit) rate() float64 { return float64(l) }
