Name the checks of limits by what they tell

Cause: reading the change: takesLimited and takeLimited differed by a letter, and two methods were called isWithheld. Change: names and a comment. Behaviour is the same. Result: go test ./placer ./gateway passes.

--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -30,7 +30,7 @@
 			if c.g.stopping.Load() {
 				return selection{}, refused{reason: "entry is stopping", retryAfter: retryAfter(0), earliestAnswer: earliest}
 			}
-			if c.isWithheld(time.Now()) {
+			if c.isLimitedPastDeadline(time.Now()) {
 				return selection{}, newRefused(q.Refusal(ticket, time.Now()), earliest)
 			}
 			verdict = q.NoRoom(ticket, sel.choice.RoomIn, time.Now())
@@ -51,10 +51,10 @@
 	}
 }
 
-// isWithheld reports whether the limits that all targets of the service have named keep
-// this entry from sending the call before its deadline.
-func (c *call) isWithheld(now time.Time) bool {
-	wait, allowed := c.service.placer.LimitedFor(now)
+// isLimitedPastDeadline reports whether the limits that all targets of the service have
+// named keep this entry from sending the call in time for its deadline.
+func (c *call) isLimitedPastDeadline(now time.Time) bool {
+	wait, allowed := c.service.placer.LimitDelay(now)
 	r := c.admission(now)
 	return !allowed || now.Add(wait+r.Work).After(r.Deadline) && wait > 0
 }
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -65,7 +65,7 @@
 // that other entries send at the same time. A cold target, and one that has named a
 // limit, also needs a token of the entry's bucket.
 func (s *Service) admits(t *Target, now time.Time) bool {
-	if !s.takesLimited(t, now) {
+	if !s.limitAllows(t, now) {
 		return false
 	}
 	if now.Before(t.coldUntil) {
--- a/placer/limit.go
+++ b/placer/limit.go
@@ -151,9 +151,9 @@
 	return news
 }
 
-// takesLimited tells whether the limit of a target allows one more request of this
+// limitAllows tells whether the limit of a target allows one more request of this
 // entry now.
-func (s *Service) takesLimited(t *Target, now time.Time) bool {
+func (s *Service) limitAllows(t *Target, now time.Time) bool {
 	if !t.limit.named || t.limit.trial {
 		return true
 	}
@@ -161,8 +161,8 @@
 	return t.limit.bucket.HasToken()
 }
 
-// takeLimited counts a request for which takesLimited returned true.
-func (l *targetLimit) takeLimited() {
+// take counts a request for which limitAllows returned true.
+func (l *targetLimit) take() {
 	switch {
 	case !l.named:
 	case l.trial:
@@ -180,13 +180,13 @@
 // isWithheld tells whether a target isn't worth a health check, because its limit
 // allows no request of this entry and was confirmed lately.
 func (s *Service) isWithheld(t *Target, now time.Time) bool {
-	return !s.takesLimited(t, now) && now.Sub(t.limit.confirmedAt) < limitRecheck
+	return !s.limitAllows(t, now) && now.Sub(t.limit.confirmedAt) < limitRecheck
 }
 
-// LimitedFor returns the time until the limits of the targets allow a request of this
+// LimitDelay returns the time until the limits of the targets allow a request of this
 // entry; 0 if a target has none. It returns false if they never will while the entry
 // has the same share of the fleet.
-func (s *Service) LimitedFor(now time.Time) (time.Duration, bool) {
+func (s *Service) LimitDelay(now time.Time) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.limited) < len(s.targets) || len(s.targets) == 0 {
@@ -195,7 +195,7 @@
 	var least time.Duration
 	allowed := false
 	for _, t := range s.targets {
-		if s.takesLimited(t, now) {
+		if s.limitAllows(t, now) {
 			return 0, true
 		}
 		if d, ok := t.limit.bucket.NextToken(t.limit.perSecond, s.limitQuotas(t, now)); ok && (!allowed || d < least) {
--- a/placer/limit_test.go
+++ b/placer/limit_test.go
@@ -225,7 +225,7 @@
 	})
 }
 
-func TestLimitedForIsKnownAtOnce(t *testing.T) {
+func TestLimitDelayIsKnownAtOnce(t *testing.T) {
 	share := limiter.Share{Total: 24, Owned: map[int]time.Time{}}
 	for p := range share.Total {
 		share.Owned[p] = now.Add(-time.Hour)
@@ -255,7 +255,7 @@
 					s.Report(s.targets[usable[i].Name], Report{Limit: LimitReport{Named: true, PerSecond: limit}}, now)
 				}
 			}
-			if got, allowed := s.LimitedFor(now); got != c.want || allowed != c.allowed {
+			if got, allowed := s.LimitDelay(now); got != c.want || allowed != c.allowed {
 				t.Errorf("%v, %v, want %v, %v", got, allowed, c.want, c.allowed)
 			}
 		})
@@ -264,7 +264,7 @@
 	s.SetShare(share)
 	s.SetTargets([]Usable{{Registration: Registration{Name: "t", DataCentre: "here", Slots: 2}}})
 	s.Report(s.targets["t"], Report{Limit: LimitReport{Named: true, PerSecond: 4}}, now)
-	if d, allowed := s.LimitedFor(now); !allowed || d <= 0 || d > time.Second {
+	if d, allowed := s.LimitDelay(now); !allowed || d <= 0 || d > time.Second {
 		t.Errorf("a token of 4 a second is due in %v, %v", d, allowed)
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -96,8 +96,8 @@
 	mu      sync.Mutex
 	rand    *rand.Rand
 	targets map[loader.TargetName]*Target
-	// limited holds the targets whose limits may have to be told or forgotten. It
-	// includes all that are known to name one.
+	// limited holds all targets that are known to name a limit, and those of which
+	// peers have yet to be told that they no longer do.
 	limited map[*Target]bool
 	// near and far hold the targets that may get requests, by locality.
 	near, far []*Target
@@ -342,7 +342,7 @@
 	if now.Before(t.coldUntil) {
 		t.bucket.Take()
 	}
-	t.limit.takeLimited()
+	t.limit.take()
 	t.outstanding++
 	t.sentSinceReport++
 	return true
