--- a/tracker/view.go
+++ b/tracker/view.go
@@ -225,8 +225,9 @@
 	return cmds
 }
 
-// applyContent applies the records from an offset on, or the state, that a read
-// returned, and adds the changes to those for gossip.
+// applyContent applies what a read returned, the state of the topic or its records from
+// an offset on, and adds the changes to those for gossip. If a full read skips ahead, its
+// changes are those to the configuration and to the data centres out of service.
 func (m *Model) applyContent(msg ReadMsg, from Offset, skips bool, now time.Time) []Cmd {
 	var cmds []Cmd
 	prevConfig := m.Config
