Refuse at once what the limits of targets don't allow in time

What callers saw: with limits at all targets of a service, requests waited until halfway between their objective and their deadline and were then refused.

Cause: the queue didn't know the limits. It let every request wait that could find room by then, looked for a target every 4 ms to 20 ms though no token was due, and told callers to come back after 150 ms, when there was none either.

Change: the queue asks how many requests the limits allow within a time. One that they don't allow is refused when it comes; so is one that would be late, if late ones have lately got a target too seldom. Those that wait look when a token is due, and refused callers come back at the rate of the tokens.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -115,13 +115,40 @@
 	// looking counts the tickets of waiting whose turn it is; at most one.
 	looking int
 	// turns counts the turns that were given.
-	turns   int
-	placed  rate
-	returns returns
+	turns int
+	// placed is the rate at which requests are placed while others wait, and placedLate
+	// that of late ones while such wait.
+	placed, placedLate rate
+	returns            returns
+	limits             Limits
 }
 
+// Limits tells how many requests of this entry the limits that targets have named
+// allow. Its methods are called with the queue locked.
+type Limits interface {
+	// Allowance returns the number of requests allowed within a time, and false if
+	// there is no limit.
+	Allowance(within time.Duration, now time.Time) (int, bool)
+	// LimitDelay returns the time until a request is allowed, and false if none ever
+	// will be.
+	LimitDelay(now time.Time) (time.Duration, bool)
+}
+
+// Option configures a Queue.
+type Option func(*Queue)
+
+// WithLimits makes the queue refuse the requests that limits of targets don't allow in
+// time; by default there are none.
+func WithLimits(l Limits) Option { return func(q *Queue) { q.limits = l } }
+
 // New returns an empty queue. The random numbers are from 0 to 1.
-func New(random func() float64) *Queue { return &Queue{random: random} }
+func New(random func() float64, opts ...Option) *Queue {
+	q := &Queue{random: random, limits: noLimits{}}
+	for _, opt := range opts {
+		opt(q)
+	}
+	return q
+}
 
 // Enter adds a request. It looks at once if none that waits goes before it. It is
 // refused if it can't be answered, be it that it is placed now or after those that go
@@ -129,7 +156,7 @@
 func (q *Queue) Enter(r Request, now time.Time) (*Ticket, Verdict) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.placed.advance(now, len(q.waiting) > 0)
+	q.advance(now)
 	t := &Ticket{request: r, entered: now, turn: make(chan struct{}, 1)}
 	if refusal, ok := q.refuse(t, now); ok {
 		return t, refusal
@@ -145,17 +172,20 @@
 func (q *Queue) NoRoom(t *Ticket, roomIn time.Duration, now time.Time) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.placed.advance(now, len(q.waiting) > 0)
+	q.advance(now)
 	q.endLook(t)
 	if refusal, ok := q.refuse(t, now); ok {
 		q.remove(t)
 		return refusal
 	}
+	// Until the limits of targets allow a request, a look finds nothing.
+	limited, _ := q.limits.LimitDelay(now)
 	if t.request.onTime(now) {
-		return q.enqueue(t, lookAfter(roomIn))
+		return q.enqueue(t, max(limited, lookAfter(roomIn)))
 	}
-	t.restUntil = now.Add(lateLookInterval)
-	return q.enqueue(t, lateLookInterval)
+	wait := max(limited, lateLookInterval)
+	t.restUntil = now.Add(wait)
+	return q.enqueue(t, wait)
 }
 
 // Placed ends the look of a request that got a target. The next one may look, as
@@ -163,9 +193,12 @@
 func (q *Queue) Placed(t *Ticket, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.placed.advance(now, len(q.waiting) > 0)
+	q.advance(now)
 	if len(q.waiting) > 0 {
 		q.placed.placed++
+		if !t.request.onTime(now) {
+			q.placedLate.placed++
+		}
 	}
 	q.endLook(t)
 	q.remove(t)
@@ -176,7 +209,7 @@
 func (q *Queue) Leave(t *Ticket, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.placed.advance(now, len(q.waiting) > 0)
+	q.advance(now)
 	if !t.waiting {
 		return
 	}
@@ -190,7 +223,7 @@
 func (q *Queue) Wake(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.placed.advance(now, len(q.waiting) > 0)
+	q.advance(now)
 	q.giveTurn(now)
 }
 
@@ -198,7 +231,7 @@
 func (q *Queue) Refusal(t *Ticket, now time.Time) Refuse {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.placed.advance(now, len(q.waiting) > 0)
+	q.advance(now)
 	return q.refusal(t, NoRoom, now)
 }
 
@@ -215,6 +248,13 @@
 	return len(q.waiting), onTime
 }
 
+// advance counts the time since the last call in the rates.
+func (q *Queue) advance(now time.Time) {
+	late := slices.ContainsFunc(q.waiting, func(t *Ticket) bool { return !t.request.onTime(now) })
+	q.placed.advance(now, len(q.waiting) > 0)
+	q.placedLate.advance(now, late)
+}
+
 // enqueue adds the ticket to those that wait, unless it is one of them.
 func (q *Queue) enqueue(t *Ticket, lookAfter time.Duration) Wait {
 	if !t.waiting {
--- a/admitter/reason_string.go
+++ b/admitter/reason_string.go
@@ -12,11 +12,12 @@
 	_ = x[Backlog-1]
 	_ = x[NoRoom-2]
 	_ = x[Full-3]
+	_ = x[Limited-4]
 }
 
-const _Reason_name = "deadline can't be metbacklog is too longno room in timetoo many requests wait"
+const _Reason_name = "deadline can't be metbacklog is too longno room in timetoo many requests waittargets limit their requests"
 
-var _Reason_index = [...]uint8{0, 21, 40, 55, 77}
+var _Reason_index = [...]uint8{0, 21, 40, 55, 77, 105}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/admitter/refuse.go
+++ b/admitter/refuse.go
@@ -21,6 +21,8 @@
 	NoRoom // no room in time
 	// Full means that as many requests wait as may.
 	Full // too many requests wait
+	// Limited means that the limits that targets have named don't allow it in time.
+	Limited // targets limit their requests
 )
 
 const (
@@ -39,6 +41,10 @@
 	// Many entries that look often would find each moment in which a few targets are
 	// idle, also in an overload.
 	lateLookInterval = 100 * time.Millisecond
+	// lateTolerance is how many times longer than it may wait a late request is expected
+	// to wait when it is refused. The rate at which late ones are placed is the average
+	// of a few.
+	lateTolerance = 2
 )
 
 // refuse returns a refusal if it is known that the request can't be served.
@@ -47,6 +53,9 @@
 	if now.After(latest) {
 		return q.refusal(t, TooLate, now), true
 	}
+	if !q.limitsAllow(t, now) {
+		return q.refusal(t, Limited, now), true
+	}
 	if t.waiting {
 		return Refuse{}, false
 	}
@@ -60,20 +69,53 @@
 	return Refuse{}, false
 }
 
+// limitsAllow reports whether the limits of targets allow the request in time, be it only
+// as a late one, at the rate at which those lately got a target.
+func (q *Queue) limitsAllow(t *Ticket, now time.Time) bool {
+	r := t.request
+	allowed, limited := q.limits.Allowance(r.waitEnd().Sub(now), now)
+	switch {
+	case !limited:
+		return true
+	case t.waiting:
+		return allowed > 0
+	}
+	onTime, _ := q.limits.Allowance(r.Objective.Add(-r.Work).Sub(now), now)
+	if onTime > q.ahead(t, now) {
+		return true
+	}
+	n := len(q.waiting) + 1
+	return allowed >= n && q.placedLate.timeFor(n) <= lateTolerance*r.waitEnd().Sub(now)
+}
+
 // refusal returns a refusal with the delay after which the backlog is expected to be
 // gone. Callers that are refused one after the other are told to come back at the
-// rate at which requests are placed, in the order in which they came; all at once
-// they would only be refused again.
+// rate at which requests are placed, or at which limits of targets allow them, in the
+// order in which they came; all at once they would only be refused again.
 func (q *Queue) refusal(t *Ticket, reason Reason, now time.Time) Refuse {
 	rate, _ := q.placed.perSecond()
 	longest := min(maxRetryAfter, time.Duration(retryAfterFraction*float64(t.request.Deadline.Sub(now))))
-	backlog := max(minRetryAfter, q.placed.timeFor(len(q.waiting)+1))
-	delay := q.returns.next(now, backlog, q.placed.timeFor(1), max(minRetryAfter, longest)).Sub(now)
+	longest = max(minRetryAfter, longest)
+	interval := q.placed.timeFor(1)
+	if n, limited := q.limits.Allowance(longest, now); limited && n > 0 {
+		interval = max(interval, longest/time.Duration(n))
+	}
+	backlog := max(minRetryAfter, time.Duration(len(q.waiting)+1)*interval)
+	delay := q.returns.next(now, backlog, interval, longest).Sub(now)
 	// The jitter keeps callers of other entries, who were told the same, apart.
 	delay += time.Duration(q.random() * float64(min(delay/4, maxRetryAfter/4)))
 	return Refuse{Reason: reason, Ahead: q.ahead(t, now), Rate: rate, RetryAfter: delay}
 }
 
+// noLimits is a service without limits.
+type noLimits struct{}
+
+// Allowance implements [Limits].
+func (noLimits) Allowance(time.Duration, time.Time) (int, bool) { return 0, false }
+
+// LimitDelay implements [Limits].
+func (noLimits) LimitDelay(time.Time) (time.Duration, bool) { return 0, true }
+
 // lookAfter bounds the time until the next look.
 func lookAfter(roomIn time.Duration) time.Duration {
 	return min(max(roomIn, minLookAfter), maxLookAfter)
--- a/admitter/replay_test.go
+++ b/admitter/replay_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"savoryroad.dev/limiter"
 	"savoryroad.dev/loader"
 	"savoryroad.dev/placer"
 )
@@ -40,10 +41,20 @@
 	polling
 	// fifo waits in the order of arrival until the deadline.
 	fifo
+	// unaware waits in a Queue that doesn't know the limits of targets.
+	unaware
+	policies
 )
 
 // counts counts the requests by their outcome at their callers, who come back twice.
-type counts struct{ offered, inTime, late, refused int }
+type counts struct {
+	offered, inTime, late, refused int
+	// refusals counts the refused attempts, probes the health checks, and sent the
+	// requests that were sent to targets.
+	refusals, probes, sent int
+	// held is the time for which refused attempts had waited, of all together.
+	held time.Duration
+}
 
 // pattern is a load on the fleet.
 type pattern struct {
@@ -59,6 +70,8 @@
 	impatient float64
 	// quota is the part of each tenth of a second in which an entry runs; 0 for 1.
 	quota float64
+	// limit is the rate that a target names in its answers at a time; 0 for none.
+	limit func(at time.Duration) limiter.NamedLimit
 	// from and until are when the load is at its worst; requests that arrive then
 	// are counted.
 	from, until time.Duration
@@ -76,6 +89,8 @@
 	// slower, and by what.
 	simKnee       = 0.8
 	simKneeFactor = 1.7
+	// sharePartitions is the number of partitions of the fleet.
+	sharePartitions = 240
 )
 
 type simEntry struct {
@@ -136,7 +151,11 @@
 
 // newEntry returns an entry that knows all targets and nothing of their load.
 func (f *fleet) newEntry(i int) *simEntry {
-	e := &simEntry{index: i, service: placer.New("s", dataCentre(i), f.rand.Uint64()), queue: New(f.rand.Float64)}
+	e := &simEntry{index: i, service: placer.New("s", dataCentre(i), f.rand.Uint64())}
+	e.queue = New(f.rand.Float64, WithLimits(e.service))
+	if f.policy == unaware {
+		e.queue = New(f.rand.Float64)
+	}
 	var usable []placer.Usable
 	for _, t := range f.targets {
 		usable = append(usable, placer.Usable{Registration: placer.Registration{
@@ -145,9 +164,19 @@
 		}})
 	}
 	e.service.SetTargets(usable)
+	e.service.SetShare(f.share(i))
 	return e
 }
 
+// share returns the share of entry i, which it has had for long. All shares are equal.
+func (f *fleet) share(i int) limiter.Share {
+	s := limiter.Share{Total: sharePartitions, Owned: map[int]time.Time{}}
+	for p := i; p < s.Total; p += f.pattern.entries {
+		s.Owned[p] = start.Add(-time.Hour)
+	}
+	return s
+}
+
 func dataCentre(i int) loader.DataCentreName { return loader.DataCentreName(fmt.Sprint("dc", i%3)) }
 
 func (f *fleet) schedule(d time.Duration, action func()) {
@@ -159,6 +188,9 @@
 // run plays the pattern and returns its counts.
 func (f *fleet) run() counts {
 	f.changeNoise()
+	if f.limit != nil {
+		f.spreadLimits()
+	}
 	f.offer()
 	for i := range f.entries {
 		f.watchEntry(i)
@@ -179,6 +211,26 @@
 	f.schedule(300*time.Millisecond, f.changeNoise)
 }
 
+// spreadLimits passes what entries were told of limits to all others, every 50 ms.
+func (f *fleet) spreadLimits() {
+	for _, from := range f.entries {
+		for _, n := range from.service.LimitNews(f.now) {
+			for _, to := range f.entries {
+				to.service.HearLimit(n, f.now)
+			}
+		}
+	}
+	f.schedule(50*time.Millisecond, f.spreadLimits)
+}
+
+// limitReport is what an answer says of the limit of a target.
+func (f *fleet) limitReport() placer.LimitReport {
+	if f.limit == nil || f.limit(f.at()) == 0 {
+		return placer.LimitReport{Conclusive: true}
+	}
+	return placer.LimitReport{Named: true, PerSecond: f.limit(f.at())}
+}
+
 // watchEntry replaces an entry that comes back: it has lost what it knew.
 func (f *fleet) watchEntry(i int) {
 	if f.isEntryDown(i) {
@@ -276,9 +328,18 @@
 			})
 		}
 	case Refuse:
-		r.done = true
-		f.comeBack(r, v.RetryAfter)
+		f.refuse(r, v)
+	}
+}
+
+// refuse refuses an attempt.
+func (f *fleet) refuse(r *simRequest, v Refuse) {
+	r.done = true
+	if r.counted {
+		f.counts.refusals++
+		f.counts.held += f.now.Sub(r.arrived)
 	}
+	f.comeBack(r, v.RetryAfter)
 }
 
 // waiting refuses the request once it has waited as long as it can.
@@ -288,11 +349,10 @@
 		if r.attempts != attempt || r.done || !r.ticket.waiting || r.ticket.looking {
 			return
 		}
-		r.done = true
 		refusal := e.queue.Refusal(r.ticket, f.now)
 		e.queue.Leave(r.ticket, f.now)
 		f.deliverTurns(e)
-		f.comeBack(r, refusal.RetryAfter)
+		f.refuse(r, refusal)
 	})
 	f.tickets[r.ticket] = r
 }
@@ -340,6 +400,9 @@
 	var answered []*placer.Target
 	for _, c := range candidates {
 		t := f.target(c)
+		if f.at() >= f.from && f.at() < f.until {
+			f.counts.probes++
+		}
 		if f.targetDown != nil && f.targetDown(t.index, f.at()) {
 			s.Miss(c, f.now)
 			continue
@@ -374,9 +437,12 @@
 // send sends the request to a target.
 func (f *fleet) send(r *simRequest, choice placer.Choice) {
 	r.done, r.sentAt = true, f.now
+	if f.at() >= f.from && f.at() < f.until {
+		f.counts.sent++
+	}
 	t := f.target(choice.Target)
 	finish := func(ok bool) {
-		r.entry.service.Finish(choice.Target, placer.Result{Route: "r", Answered: ok, Took: f.now.Sub(r.sentAt), Expected: choice.Expected}, f.now)
+		r.entry.service.Finish(choice.Target, placer.Result{Route: "r", Answered: ok, Took: f.now.Sub(r.sentAt), Expected: choice.Expected, Limit: f.limitReport()}, f.now)
 		if f.policy != polling {
 			r.entry.queue.Wake(f.now)
 			f.deliverTurns(r.entry)
@@ -497,7 +563,7 @@
 		t.Run(p.name, func(t *testing.T) {
 			t.Parallel()
 			p.from, p.until = 2*time.Second, 7*time.Second
-			var sums [3]counts
+			var sums [policies]counts
 			for seed := range uint64(seeds) {
 				for _, policy := range []policy{queueing, polling, fifo} {
 					sums[policy].add(newFleet(p, policy, seed).run())
@@ -528,6 +594,10 @@
 	c.inTime += o.inTime
 	c.late += o.late
 	c.refused += o.refused
+	c.held += o.held
+	c.refusals += o.refusals
+	c.probes += o.probes
+	c.sent += o.sent
 }
 
 // share returns n as a share of the offered requests.
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -224,7 +224,7 @@
 		} else {
 			b := g.bounds.Load()
 			s.placer = placer.New(name, g.platform.DataCentre, rand.Uint64())
-			s.admitter = admitter.New(rand.Float64)
+			s.admitter = admitter.New(rand.Float64, admitter.WithLimits(s.placer))
 			s.budget = limiter.NewBudget(b.RetryRatio, b.RetrySlack, b.RetryWindow)
 			s.probeLimiter = &limiter.Probes{}
 			s.connectionPools = &connectionPools{pools: map[*placer.Target]*transporter.Pool{}, buffers: g.buffers}
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -30,9 +30,6 @@
 			if c.g.stopping.Load() {
 				return selection{}, refused{reason: "entry is stopping", retryAfter: retryAfter(0), earliestAnswer: earliest}
 			}
-			if c.isLimitedPastDeadline(time.Now()) {
-				return selection{}, newRefused(q.Refusal(ticket, time.Now()), earliest)
-			}
 			verdict = q.NoRoom(ticket, sel.choice.RoomIn, time.Now())
 		case admitter.Wait:
 			if v.LookAfter > 0 {
@@ -51,14 +48,6 @@
 	}
 }
 
-// isLimitedPastDeadline reports whether the limits that all targets of the service have
-// named keep this entry from sending the call in time for its deadline.
-func (c *call) isLimitedPastDeadline(now time.Time) bool {
-	wait, allowed := c.service.placer.LimitDelay(now)
-	r := c.admission(now)
-	return !allowed || now.Add(wait+r.Work).After(r.Deadline) && wait > 0
-}
-
 // lookInterval returns the time until waiting requests look for a target again: d, or
 // longer while the limit on health checks is used up, of which each look sends at least
 // two.
--- a/limiter/quota.go
+++ b/limiter/quota.go
@@ -155,6 +155,12 @@
 	return time.Duration((1 - b.tokens) / rate * float64(time.Second)), true
 }
 
+// TokensIn returns the number of requests that are allowed within a time, if each is
+// sent as soon as it is allowed.
+func (b *TokenBucket) TokensIn(within time.Duration, limit FleetLimit, quotas int) int {
+	return int(b.tokens + tokenRate(limit, quotas)*max(0, within.Seconds()))
+}
+
 // HasToken tells whether a request is allowed.
 func (b *TokenBucket) HasToken() bool { return b.tokens >= 1 }
 
--- a/placer/limit.go
+++ b/placer/limit.go
@@ -189,7 +189,7 @@
 func (s *Service) LimitDelay(now time.Time) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.limited) < len(s.targets) || len(s.targets) == 0 {
+	if !s.isLimited() {
 		return 0, true
 	}
 	var least time.Duration
@@ -204,3 +204,35 @@
 	}
 	return least, allowed
 }
+
+// Allowance returns how many requests of this entry the limits of the targets allow
+// within a time. It returns false if a target has no limit.
+func (s *Service) Allowance(within time.Duration, now time.Time) (int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isLimited() {
+		return 0, false
+	}
+	n := 0
+	for _, t := range s.targets {
+		if s.limitAllows(t, now) && t.limit.trial {
+			n++
+			continue
+		}
+		n += t.limit.bucket.TokensIn(within, t.limit.perSecond, s.limitQuotas(t, now))
+	}
+	return n, true
+}
+
+// isLimited tells whether all targets are known to name limits.
+func (s *Service) isLimited() bool {
+	if len(s.limited) < len(s.targets) || len(s.targets) == 0 {
+		return false
+	}
+	for _, t := range s.targets {
+		if !t.limit.named {
+			return false
+		}
+	}
+	return true
+}
