Probe a limited target once in a while, not for each request

What callers saw: nothing; health checks were used up that other targets needed.

Cause: an entry that may not send to a target asks it again 3 s after it last heard of the limit. If the answers to health checks don't name it, nothing was noted, and each look of each request asked again. Change: the answer to a health check is noted, and the next one is due 3 s later.

--- a/placer/limit.go
+++ b/placer/limit.go
@@ -21,8 +21,8 @@
 	limitRefresh = 1500 * time.Millisecond
 	// maxToldAge is how long after an answer its limit may be spread.
 	maxToldAge = 1 * time.Second
-	// limitRecheck is the time without any confirmation after which an entry asks a
-	// target again that it may not send to.
+	// limitRecheck is the time without any confirmation after which an entry probes a
+	// target that it may not send to, and the time between two such probes.
 	limitRecheck = 3 * time.Second
 	// minTrialDelay is the least time without confirmation after which an entry asks
 	// with a request that its quotas don't allow, and trialRequests the number of
@@ -63,8 +63,9 @@
 	perSecond limiter.NamedLimit
 	bucket    limiter.TokenBucket
 	// confirmedAt is when an answer or a peer last told of the limit, toldAt when an
-	// answer last did, and spreadAt when this entry or a peer last spread it.
-	confirmedAt, toldAt, spreadAt time.Time
+	// answer last did, spreadAt when this entry or a peer last spread it, and probedAt
+	// when the target last answered a health check.
+	confirmedAt, toldAt, spreadAt, probedAt time.Time
 	// inHealth is set once an answer to a health check has named the limit.
 	inHealth bool
 	// changed is set if an answer has told of a change since spreadAt.
@@ -95,6 +96,9 @@
 // noteLimit records what an answer of a target says of its limit.
 func (s *Service) noteLimit(t *Target, r LimitReport, fromHealth bool, now time.Time) {
 	l := &t.limit
+	if fromHealth {
+		l.probedAt = now
+	}
 	switch {
 	case r.Named:
 		l.inHealth = l.inHealth || fromHealth
@@ -178,9 +182,10 @@
 }
 
 // isWithheld tells whether a target isn't worth a health check, because its limit
-// allows no request of this entry and was confirmed lately.
+// allows no request of this entry, and was confirmed or asked for lately.
 func (s *Service) isWithheld(t *Target, now time.Time) bool {
-	return !s.limitAllows(t, now) && now.Sub(t.limit.confirmedAt) < limitRecheck
+	l := &t.limit
+	return !s.limitAllows(t, now) && (now.Sub(l.confirmedAt) < limitRecheck || now.Sub(l.probedAt) < limitRecheck)
 }
 
 // LimitDelay returns the time until the limits of the targets allow a request of this
--- a/placer/limit_test.go
+++ b/placer/limit_test.go
@@ -268,3 +268,24 @@
 		t.Errorf("a token of 4 a second is due in %v, %v", d, allowed)
 	}
 }
+
+// A target whose answers to health checks don't name its limit is probed once in a while
+// by an entry that may not send to it, not by each of its requests.
+func TestLimitedTargetIsProbedByEachRequest(t *testing.T) {
+	s := New("s", "here", 1)
+	s.SetShare(limiter.Share{Total: 1})
+	s.SetTargets([]Usable{{Registration: Registration{Name: "t", DataCentre: "here", Slots: 2}}})
+	target := s.targets["t"]
+	s.Finish(target, Result{Limit: LimitReport{Named: true, PerSecond: 1}}, now)
+	probes := 0
+	const length, interval = 9 * time.Second, 10 * time.Millisecond
+	for at := now; at.Before(now.Add(length)); at = at.Add(interval) {
+		for _, c := range s.Candidates(nil, Demand{}, Near, 3, at) {
+			probes++
+			s.Report(c, Report{Limit: LimitReport{Conclusive: true}}, at)
+		}
+	}
+	if most := int(length / limitRecheck); probes == 0 || probes > most {
+		t.Errorf("%d probes in %v, want 1 to %d", probes, length, most)
+	}
+}
