Keep the limit of a target that leaves and comes back

What callers saw: nothing yet. A target in need gets a burst of requests when its data centre is taken back into service, or when it moves.

Cause: the limit was part of the state that an entry drops with a target that is no longer listed. Entries that had been told then sent without a limit until the next answer told them again, all of them at the same moment. Evidence: reading the change of the limits for what ends them; the new test.

--- a/admitter/replay_test.go
+++ b/admitter/replay_test.go
@@ -163,7 +163,7 @@
 			Address: netip.MustParseAddrPort("127.0.0.1:80"),
 		}})
 	}
-	e.service.SetTargets(usable)
+	e.service.SetTargets(usable, f.now)
 	e.service.SetShare(f.share(i))
 	return e
 }
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -185,7 +185,7 @@
 		services := g.snapshot.Load().services
 		for name, targets := range cmd.Targets {
 			if s, ok := services[name]; ok {
-				s.closePools(s.placer.SetTargets(targets))
+				s.closePools(s.placer.SetTargets(targets, time.Now()))
 				g.updateProbeRate(s)
 				s.admitter.Wake(time.Now())
 			}
--- a/gateway/reload_test.go
+++ b/gateway/reload_test.go
@@ -16,7 +16,7 @@
 	g := New(platform.Settings{})
 	g.install(router.Config{Version: 1, Services: map[loader.ServiceName]router.Service{"s": {}}})
 	s := g.snapshot.Load().services["s"]
-	s.placer.SetTargets([]placer.Usable{{Registration: placer.Registration{Name: "t", Slots: 1}}})
+	s.placer.SetTargets([]placer.Usable{{Registration: placer.Registration{Name: "t", Slots: 1}}}, time.Now())
 	if got := s.probeLimiter.Take(6, time.Now()); got != 6 {
 		t.Fatalf("%d of 6 health checks allowed without a bound, want 6", got)
 	}
--- a/placer/limit_test.go
+++ b/placer/limit_test.go
@@ -47,7 +47,7 @@
 // start replaces an entry by a new process that knows nothing.
 func (f *limitedFleet) start(e *limitedEntry) {
 	e.service = New("s", "here", f.random.Uint64())
-	e.service.SetTargets([]Usable{{Registration: Registration{Name: limitedTarget, DataCentre: "here", Slots: 1000}}})
+	e.service.SetTargets([]Usable{{Registration: Registration{Name: limitedTarget, DataCentre: "here", Slots: 1000}}}, f.now)
 	e.known, e.renewAt, e.toldAt = map[int]time.Time{}, f.now, time.Time{}
 }
 
@@ -249,7 +249,7 @@
 			for i := range c.limits {
 				usable = append(usable, Usable{Registration: Registration{Name: loader.TargetName(fmt.Sprint("t", i)), DataCentre: "here", Slots: 2}})
 			}
-			s.SetTargets(usable)
+			s.SetTargets(usable, now)
 			for i, limit := range c.limits {
 				if limit >= 0 {
 					s.Report(s.targets[usable[i].Name], Report{Limit: LimitReport{Named: true, PerSecond: limit}}, now)
@@ -262,7 +262,7 @@
 	}
 	s := New("s", "here", 1)
 	s.SetShare(share)
-	s.SetTargets([]Usable{{Registration: Registration{Name: "t", DataCentre: "here", Slots: 2}}})
+	s.SetTargets([]Usable{{Registration: Registration{Name: "t", DataCentre: "here", Slots: 2}}}, now)
 	s.Report(s.targets["t"], Report{Limit: LimitReport{Named: true, PerSecond: 4}}, now)
 	if d, allowed := s.LimitDelay(now); !allowed || d <= 0 || d > time.Second {
 		t.Errorf("a token of 4 a second is due in %v, %v", d, allowed)
@@ -274,7 +274,7 @@
 func TestLimitedTargetIsProbedByEachRequest(t *testing.T) {
 	s := New("s", "here", 1)
 	s.SetShare(limiter.Share{Total: 1})
-	s.SetTargets([]Usable{{Registration: Registration{Name: "t", DataCentre: "here", Slots: 2}}})
+	s.SetTargets([]Usable{{Registration: Registration{Name: "t", DataCentre: "here", Slots: 2}}}, now)
 	target := s.targets["t"]
 	s.Finish(target, Result{Limit: LimitReport{Named: true, PerSecond: 1}}, now)
 	probes := 0
@@ -289,3 +289,57 @@
 		t.Errorf("%d probes in %v, want 1 to %d", probes, length, most)
 	}
 }
+
+// limitedService returns a service with a share of the fleet and a target that has named
+// a limit.
+func limitedService(u Usable) *Service {
+	s := New("s", "here", 1)
+	s.SetShare(limiter.Share{Total: 1, Owned: map[int]time.Time{0: now.Add(-time.Hour)}})
+	s.SetTargets([]Usable{u}, now)
+	s.Finish(s.targets[u.Name], Result{Limit: LimitReport{Named: true, PerSecond: 1}}, now)
+	return s
+}
+
+// A target that leaves and comes back, in a data centre that was out of service or at
+// another address, still names its limit, unless it has restarted.
+func TestLimitIsForgottenWhileTargetIsAway(t *testing.T) {
+	first := Usable{Registration: Registration{Name: "t", DataCentre: "here", Slots: 2, Born: 7}}
+	moved, restarted := first, first
+	moved.DataCentre, restarted.Born = "there", 8
+	for _, c := range []struct {
+		name   string
+		listed [][]Usable
+		kept   bool
+	}{
+		{"away", [][]Usable{nil, {first}}, true},
+		{"away twice", [][]Usable{nil, {first}, nil, {first}}, true},
+		{"moved", [][]Usable{{moved}}, true},
+		{"away and moved", [][]Usable{nil, {moved}}, true},
+		{"restarted", [][]Usable{{restarted}}, false},
+		{"restarted while away", [][]Usable{nil, {restarted}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := limitedService(first)
+			at := now
+			for _, usable := range c.listed {
+				at = at.Add(2 * time.Minute)
+				s.SetTargets(usable, at)
+			}
+			target := s.targets["t"]
+			if target.limit.named != c.kept {
+				t.Fatalf("limit known: %v, want %v", target.limit.named, c.kept)
+			}
+			sent := 0
+			for s.Start(target, at) && sent < 100 {
+				sent++
+			}
+			if c.kept && sent > 1 {
+				t.Errorf("%d requests at once, the limit allows 1", sent)
+			}
+			s.LimitNews(at)
+			if c.kept && target.limit.trial {
+				t.Error("all entries would send a trial at once")
+			}
+		})
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -99,6 +99,9 @@
 	// limited holds all targets that are known to name a limit, and those of which
 	// peers have yet to be told that they no longer do.
 	limited map[*Target]bool
+	// away holds the limits of targets that are no longer listed, until awayLimitTTL
+	// has passed.
+	away map[loader.TargetName]awayLimit
 	// near and far hold the targets that may get requests, by locality.
 	near, far []*Target
 	coldLimit limiter.ColdLimit
@@ -156,6 +159,7 @@
 		rand:            rand.New(rand.NewPCG(seed, 0)),
 		targets:         map[loader.TargetName]*Target{},
 		limited:         map[*Target]bool{},
+		away:            map[loader.TargetName]awayLimit{},
 		processingTimes: map[loader.RouteName]float64{},
 	}
 }
@@ -177,8 +181,9 @@
 
 // SetTargets replaces the targets that may get requests and returns those that
 // no longer may. A target that stays keeps its state, unless it has restarted
-// or moved to another address or data centre.
-func (s *Service) SetTargets(usable []Usable) []*Target {
+// or moved to another address or data centre. Until it restarts, the limit that it names
+// is kept also if it moves or is away for some time.
+func (s *Service) SetTargets(usable []Usable, now time.Time) []*Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := make(map[loader.TargetName]*Target, len(usable))
@@ -187,6 +192,7 @@
 		t := s.targets[u.Name]
 		if t == nil || t.Address != u.Address || t.DataCentre != u.DataCentre || t.startedMs != u.Born {
 			t = &Target{Name: u.Name, Address: u.Address, DataCentre: u.DataCentre, far: u.DataCentre != s.dataCentre, startedMs: u.Born, affinity: s.affinityHash(u.Name), slowness: 1}
+			s.restoreLimit(t, now)
 		}
 		t.slots = u.Slots
 		if u.ColdUntil.After(t.coldUntil) {
@@ -206,6 +212,9 @@
 		if current[name] != t {
 			removed = append(removed, t)
 		}
+		if current[name] == nil {
+			s.keepLimit(t, now)
+		}
 	}
 	s.targets = current
 	return removed
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -27,7 +27,7 @@
 		}
 		all = append(all, u)
 	}
-	s.SetTargets(all)
+	s.SetTargets(all, now)
 	return s, s.targets
 }
 
@@ -206,7 +206,7 @@
 	s.Start(old, now)
 	restarted := usableTarget("t0")
 	restarted.Born = 2
-	removed := s.SetTargets([]Usable{restarted})
+	removed := s.SetTargets([]Usable{restarted}, now)
 	if len(removed) != 1 || removed[0] != old {
 		t.Errorf("removed targets: %v, want the earlier start", removed)
 	}
@@ -346,7 +346,7 @@
 		wasPreferred[name] = target.preferred
 		rest = append(rest, Usable{Registration: Registration{Name: name, Address: target.Address, DataCentre: target.DataCentre, Slots: 2}})
 	}
-	s.SetTargets(rest[1:])
+	s.SetTargets(rest[1:], now)
 	changed := 0
 	for name, target := range s.targets {
 		if target.preferred != wasPreferred[name] {
--- a/placer/replay_test.go
+++ b/placer/replay_test.go
@@ -82,7 +82,7 @@
 			Address: netip.MustParseAddrPort("127.0.0.1:80"),
 		}})
 	}
-	sim.service.SetTargets(all)
+	sim.service.SetTargets(all, sim.now)
 	for _, u := range all {
 		sim.targets = append(sim.targets, &simTarget{target: sim.service.targets[u.Name], slots: simSlots})
 	}
