Keep a limit when an answer from before it arrives late

What callers saw: nothing yet. All entries forget the limit of a target in need for a moment, and each sends to it until it is told again.

Cause: an answer without the header ended the limit, also one to a request sent before the target had named it. The entry then told all others. Evidence: reading the change of the limits for what ends them; the new test. Change: only the answer to a request that was sent after the limit was last confirmed ends it. Result: TestEarlierAnswerEndsLimit failed before and passes; TestPropertyLimitHoldsOverTheFleet still sees limits end within its bounds.

--- a/admitter/replay_test.go
+++ b/admitter/replay_test.go
@@ -223,10 +223,10 @@
 	f.schedule(50*time.Millisecond, f.spreadLimits)
 }
 
-// limitReport is what an answer says of the limit of a target.
-func (f *fleet) limitReport() placer.LimitReport {
+// limitReport is what the answer to a request says of the limit of a target.
+func (f *fleet) limitReport(askedAt time.Time) placer.LimitReport {
 	if f.limit == nil || f.limit(f.at()) == 0 {
-		return placer.LimitReport{Conclusive: true}
+		return placer.LimitReport{Conclusive: true, AskedAt: askedAt}
 	}
 	return placer.LimitReport{Named: true, PerSecond: f.limit(f.at())}
 }
@@ -442,7 +442,7 @@
 	}
 	t := f.target(choice.Target)
 	finish := func(ok bool) {
-		r.entry.service.Finish(choice.Target, placer.Result{Route: "r", Answered: ok, Took: f.now.Sub(r.sentAt), Expected: choice.Expected, Limit: f.limitReport()}, f.now)
+		r.entry.service.Finish(choice.Target, placer.Result{Route: "r", Answered: ok, Took: f.now.Sub(r.sentAt), Expected: choice.Expected, Limit: f.limitReport(r.sentAt)}, f.now)
 		if f.policy != polling {
 			r.entry.queue.Wake(f.now)
 			f.deliverTurns(r.entry)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -348,7 +348,7 @@
 	defer c.service.admitter.Wake(now)
 	var limit placer.LimitReport
 	if a != nil && (r.answer != nil || r.notRun) {
-		limit = limitReport(a.Header, r.success())
+		limit = limitReport(a.Header, r.success(), sentAt)
 	}
 	c.service.placer.Finish(t, placer.Result{
 		Limit:    limit,
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -11,11 +11,11 @@
 	"savoryroad.dev/platform"
 )
 
-// limitReport returns what an answer of a target says of its limit. An answer that is
-// not a success doesn't show that there is none.
-func limitReport(h http.Header, success bool) placer.LimitReport {
+// limitReport returns what an answer of a target says of its limit, to a request sent at
+// a time. An answer that is not a success doesn't show that there is none.
+func limitReport(h http.Header, success bool, askedAt time.Time) placer.LimitReport {
 	perSecond, named := platform.Limit(h)
-	return placer.LimitReport{Named: named, PerSecond: perSecond, Conclusive: success && !named}
+	return placer.LimitReport{Named: named, PerSecond: perSecond, Conclusive: success && !named, AskedAt: askedAt}
 }
 
 // spreadLimits tells the peers what targets have said of their limits.
--- a/gateway/look.go
+++ b/gateway/look.go
@@ -112,6 +112,7 @@
 // and load to the placer. It returns false, and closes the connection, if the
 // answer is invalid or the connection can't carry a request.
 func (g *Gateway) probeConn(ctx context.Context, s *service, t *placer.Target, conn *transporter.Conn) bool {
+	askedAt := time.Now()
 	a, err := conn.Exchange(ctx, transporter.Request{
 		Method: http.MethodGet,
 		URI:    s.config.HealthPath,
@@ -133,7 +134,7 @@
 	report := placer.Report{Ill: a.Status != http.StatusOK}
 	report.Load, report.HasLoad = platform.Load(a.Header)
 	report.Warmup, report.HasWarmup = platform.Warmup(a.Header)
-	report.Limit = limitReport(a.Header, a.Status == http.StatusOK)
+	report.Limit = limitReport(a.Header, a.Status == http.StatusOK, askedAt)
 	s.placer.Report(t, report, now)
 	if conn.Spoiled() {
 		conn.Close()
--- a/placer/limit.go
+++ b/placer/limit.go
@@ -43,6 +43,8 @@
 	// Conclusive is set if an answer that names none shows that there is none any
 	// more.
 	Conclusive bool
+	// AskedAt is when the request was sent.
+	AskedAt time.Time
 }
 
 // LimitNews tells other entries of the limit of a target.
@@ -139,7 +141,7 @@
 	switch {
 	case r.Named:
 		l.inHealth = l.inHealth || fromHealth
-	case !l.named, !r.Conclusive, fromHealth && !l.inHealth:
+	case !l.named, !r.Conclusive, fromHealth && !l.inHealth, r.AskedAt.Before(l.confirmedAt):
 		return
 	}
 	l.toldAt = now
--- a/placer/limit_test.go
+++ b/placer/limit_test.go
@@ -123,7 +123,7 @@
 	if f.limit > 0 && named {
 		return LimitReport{Named: true, PerSecond: f.limit}
 	}
-	return LimitReport{Conclusive: true}
+	return LimitReport{Conclusive: true, AskedAt: f.now}
 }
 
 // harm lets a fault begin at an entry, or changes the group.
@@ -343,3 +343,25 @@
 		})
 	}
 }
+
+// An answer to a request that was sent before the limit was named doesn't end it: it may
+// have been on its way, or the target may have been at work on it.
+func TestEarlierAnswerEndsLimit(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		asked time.Duration
+		ends  bool
+	}{
+		{"sent before", -time.Millisecond, false},
+		{"sent after", time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := limitedService(Usable{Registration: Registration{Name: "t", DataCentre: "here", Slots: 2}})
+			target, at := s.targets["t"], now.Add(10*time.Millisecond)
+			s.Finish(target, Result{Answered: true, Limit: LimitReport{Conclusive: true, AskedAt: now.Add(c.asked)}}, at)
+			if ended := !target.limit.named; ended != c.ends {
+				t.Errorf("limit ended: %v, want %v", ended, c.ends)
+			}
+		})
+	}
+}
