Ignore the limit that another target at the address names

What callers saw: nothing yet. A target would get almost no requests.

Cause: an answer with status 421 comes from another target, which has taken the address over. The limit that it names was noted for the target that was meant, and spread to all entries. Change: such an answer says nothing of the limit. Result: TestLimitOfAnotherTargetAtTheAddress failed before and passes.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -346,12 +346,8 @@
 	r := classify(t, a, err)
 	now := time.Now()
 	defer c.service.admitter.Wake(now)
-	var limit placer.LimitReport
-	if a != nil && (r.answer != nil || r.notRun) {
-		limit = limitReport(a.Header, r.success(), sentAt)
-	}
 	c.service.placer.Finish(t, placer.Result{
-		Limit:    limit,
+		Limit:    r.limitReport(sentAt),
 		Route:    c.route.Name,
 		Answered: r.success(),
 		Failed:   !r.success() && !r.notRun && (ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded)),
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -18,6 +18,15 @@
 	return placer.LimitReport{Named: named, PerSecond: perSecond, Conclusive: success && !named, AskedAt: askedAt}
 }
 
+// limitReport returns what the answer to an attempt that was sent at a time says of the
+// limit of its target. One with status 421 comes from another target at the address.
+func (r attemptResult) limitReport(sentAt time.Time) placer.LimitReport {
+	if r.answer == nil || r.answer.Status == http.StatusMisdirectedRequest {
+		return placer.LimitReport{}
+	}
+	return limitReport(r.answer.Header, r.success(), sentAt)
+}
+
 // spreadLimits tells the peers what targets have said of their limits.
 func (g *Gateway) spreadLimits(now time.Time) {
 	var all []placer.LimitNews
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -7,6 +7,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"savoryroad.dev/placer"
+	"savoryroad.dev/transporter"
 )
 
 // A target that names a limit must get no more than one and a half times of it and five
@@ -76,3 +79,22 @@
 		})
 	}
 }
+
+// An answer with status 421 comes from another target at the same address, which names a
+// limit of its own.
+func TestLimitOfAnotherTargetAtTheAddress(t *testing.T) {
+	for status, counts := range map[int]bool{
+		http.StatusOK: true, http.StatusInternalServerError: true, http.StatusServiceUnavailable: true, http.StatusMisdirectedRequest: false,
+	} {
+		h := http.Header{}
+		h.Set("Server-Limit", "2.5")
+		a := &transporter.Answer{Status: status, Header: h}
+		r := attemptResult{answer: a, notRun: status == http.StatusServiceUnavailable || status == http.StatusMisdirectedRequest}
+		if got := r.limitReport(time.Now()); got.Named != counts {
+			t.Errorf("status %d: limit counts: %v, want %v", status, got.Named, counts)
+		}
+	}
+	if got := (attemptResult{}).limitReport(time.Now()); got != (placer.LimitReport{}) {
+		t.Errorf("without an answer: %+v", got)
+	}
+}
