Name limits in the soak, and check that they hold

Cause: no run with real processes under faults named a limit. The check counts the requests of all entries that have been stable, also of those that weren't told.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -87,7 +87,8 @@
 		result.status = c.readResponse(resp, id, path, len(body))
 	}
 	incarnationAfter, stable, terminating := p.state(sentAt)
-	result.duringStop = terminating && stable && incarnationAfter == incarnation && callCtx.Err() == nil
+	result.stable = stable && incarnationAfter == incarnation
+	result.duringStop = terminating && result.stable && callCtx.Err() == nil
 	c.s.checker.record(result)
 	return result.status
 }
--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -39,7 +39,10 @@
 	// been stable and not restarted since it was sent, and the caller's timeout
 	// had not expired.
 	duringStop bool
-	sentAt     time.Time
+	// stable is set if the entry had been without a fault and a restart for settleTime
+	// when the request was sent, and until it ended.
+	stable bool
+	sentAt time.Time
 }
 
 // checker records the outcomes of requests and collects violations.
@@ -101,6 +104,7 @@
 	}
 	for _, t := range targets {
 		c.checkColdRate(t)
+		c.checkLimits(t, outcomes)
 	}
 	c.checkRetryBudget(targets, outcomes)
 }
@@ -131,6 +135,45 @@
 	}
 }
 
+// checkLimits checks that no target got more requests of stable entries than the
+// platform's bounds allow at the limit that it named.
+func (c *checker) checkLimits(t *target, outcomes []outcome) {
+	periods := t.limitPeriods()
+	if len(periods) == 0 {
+		return
+	}
+	stable := map[string]bool{}
+	for _, o := range outcomes {
+		stable[o.id] = o.stable
+	}
+	var counted []time.Time
+	for _, a := range t.Arrivals() {
+		if stable[a.ID] {
+			counted = append(counted, a.At)
+		}
+	}
+	slices.SortFunc(counted, time.Time.Compare)
+	for _, l := range periods {
+		for i, first := range counted {
+			if first.Before(l.from.Add(limitContact)) || first.Add(limitWindow).After(l.until) {
+				continue
+			}
+			n := 0
+			for _, at := range counted[i:] {
+				if at.Sub(first) >= limitWindow {
+					break
+				}
+				n++
+			}
+			if maxRequests := limitExcess*l.perSecond*limitWindow.Seconds() + limitSlack; float64(n) > maxRequests {
+				c.addViolation("limits of targets", "%s got %d requests in the %v from %.3f s at a limit of %.1f a second; at most %.1f are allowed",
+					t.ID, n, limitWindow, first.Sub(c.start).Seconds(), l.perSecond, maxRequests)
+				return
+			}
+		}
+	}
+}
+
 // checkRetryBudget checks that the retries of all entries together stay within the
 // retry budget in every window. Each further arrival of a request counts as a
 // retry.
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -123,7 +123,16 @@
 		wg.Go(func() { s.runCaller(callCtx) })
 	}
 	wg.Go(func() { s.runProbes(callCtx) })
+	limitCtx, endLimits := context.WithCancel(ctx)
+	defer endLimits()
+	var limits sync.WaitGroup
+	limits.Go(func() { s.nameLimits(limitCtx) })
 	s.injectFaults(ctx)
+	endLimits()
+	limits.Wait()
+	for _, t := range s.targets {
+		s.faults["target limited"] += len(t.limitPeriods())
+	}
 	if err := s.recoverFleet(ctx); err != nil {
 		return Report{}, err
 	}
--- a/soaker/target.go
+++ b/soaker/target.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +35,44 @@
 	coldUntil time.Time
 	// drainingSince is when the target was registered as draining, or zero.
 	drainingSince time.Time
+
+	limitMu sync.Mutex
+	// limits holds the periods in which the target named a limit, oldest first. The
+	// end of the last one is zero while it does.
+	limits []limitPeriod
+}
+
+// limitPeriod is a time in which a target named a limit.
+type limitPeriod struct {
+	perSecond   float64
+	from, until time.Time
+}
+
+// nameLimit makes the target name a limit, in requests per second, also in its answers to
+// health checks if inHealth is set.
+func (t *target) nameLimit(perSecond float64, inHealth bool) {
+	t.limitMu.Lock()
+	defer t.limitMu.Unlock()
+	t.SetLimit(perSecond, inHealth)
+	t.limits = append(t.limits, limitPeriod{perSecond: perSecond, from: time.Now()})
+}
+
+// endLimit makes the target name no limit any more.
+func (t *target) endLimit() {
+	t.limitMu.Lock()
+	defer t.limitMu.Unlock()
+	if n := len(t.limits); n > 0 && t.limits[n-1].until.IsZero() {
+		t.limits[n-1].until = time.Now()
+	}
+	t.SetLimit(0, false)
+}
+
+// limitPeriods returns the periods in which the target named a limit, after the last one
+// has ended.
+func (t *target) limitPeriods() []limitPeriod {
+	t.limitMu.Lock()
+	defer t.limitMu.Unlock()
+	return slices.Clone(t.limits)
 }
 
 // clearFaults removes all faults of the target and its link.
