Check that changes are known in time though frozen entries held gossip

Change: a property of the simulated fleet, in which a third of the entries may freeze and pass on what they held, with lost gossip and a slow store. Not reproduced: the next reader takes over soon enough. No change of the code.

--- a/tracker/view_test.go
+++ b/tracker/view_test.go
@@ -40,6 +40,10 @@
 	pageRecords int
 	// storeLatency returns how long the store takes to answer a read.
 	storeLatency func() time.Duration
+	// frozenUntil holds the entries that freeze and the time until they do. Gossip
+	// reaches each entry over a relay that random selects, if it is not nil.
+	frozenUntil map[int]time.Time
+	random      *rand.Rand
 }
 
 // event is the arrival of a message at an entry.
@@ -74,6 +78,9 @@
 	due := f.pending
 	f.pending = nil
 	for _, e := range due {
+		if until := f.frozenUntil[e.entry]; e.at.Before(until) {
+			e.at = until
+		}
 		if e.at.After(f.now) {
 			notDue = append(notDue, e)
 			continue
@@ -82,8 +89,26 @@
 	}
 	f.pending = append(notDue, f.pending...)
 	for i, m := range f.models {
-		f.execute(i, m.Update(TickMsg{Peers: len(f.models) - 1}, f.now))
+		if !f.now.Before(f.frozenUntil[i]) {
+			f.execute(i, m.Update(TickMsg{Peers: len(f.models) - 1}, f.now))
+		}
+	}
+}
+
+// freeze lets entries freeze for a time. From now on gossip is relayed.
+func (f *simFleet) freeze(entries []int, d time.Duration, random *rand.Rand) {
+	f.random, f.frozenUntil = random, map[int]time.Time{}
+	for _, e := range entries {
+		f.frozenUntil[e] = f.now.Add(d)
+	}
+}
+
+// relayTime returns how long the relay that forwards a datagram holds it.
+func (f *simFleet) relayTime() time.Duration {
+	if f.random == nil {
+		return 0
 	}
+	return max(0, f.frozenUntil[f.random.IntN(len(f.models))].Sub(f.now))
 }
 
 // execute executes the commands of an entry's model on the simulated store and
@@ -107,7 +132,7 @@
 		case SpreadCmd:
 			for i := range f.models {
 				if i != entry && !f.dropsDatagram() {
-					f.pending = append(f.pending, event{f.now.Add(defaultLatency), i, NewsMsg{cmd.News}})
+					f.pending = append(f.pending, event{f.now.Add(defaultLatency + f.relayTime()), i, NewsMsg{cmd.News}})
 				}
 			}
 		}
