Tell the end of a limit again to entries that missed it

What callers saw: nothing yet. After the end of a limit, an entry leaves a target alone for up to a minute, and refuses requests if all targets had named limits.

Cause: the end was told once. An entry that lost that datagram, and owns no quota, sends nothing that the target could answer. Change: entries that are still told spread the end for 4.5 s, as they spread the limit while it holds. Result: TestEndOfLimitIsToldOnce failed before and passes.

--- a/placer/limit.go
+++ b/placer/limit.go
@@ -11,7 +11,8 @@
 // A target in need names in its answers the rate of requests that it takes from the
 // whole fleet. Most entries of a large fleet send too seldom to one target to be told
 // by its answers in time, so the entries that were told spread it among their peers:
-// at once if it changes, and again from time to time as long as the target says so.
+// at once if it changes, and again from time to time as long as the target says so, or
+// for some time after its end.
 // All entries keep to it, each within the quotas that its share of the fleet gives it,
 // until an answer or a peer says that it has ended. An entry that hears nothing for long
 // asks with a single request.
@@ -19,6 +20,9 @@
 	// limitRefresh is the time after which an entry that is still told spreads a
 	// limit again, unless another entry has.
 	limitRefresh = 1500 * time.Millisecond
+	// endTime is how long after the end of a limit it is spread, by entries that are
+	// still told.
+	endTime = 3 * limitRefresh
 	// maxToldAge is how long after an answer its limit may be spread.
 	maxToldAge = 1 * time.Second
 	// limitRecheck is the time without any confirmation after which an entry probes a
@@ -70,6 +74,8 @@
 	// answer last did, spreadAt when this entry or a peer last spread it, and probedAt
 	// when the target last answered a health check.
 	confirmedAt, toldAt, spreadAt, probedAt time.Time
+	// endedAt is when this entry learned of the end of the limit.
+	endedAt time.Time
 	// inHealth is set once an answer to a health check has named the limit.
 	inHealth bool
 	// changed is set if an answer has told of a change since spreadAt.
@@ -94,6 +100,9 @@
 	if named && !l.named {
 		l.bucket = limiter.NewEmptyBucket(now)
 	}
+	if l.named && !named {
+		l.endedAt = now
+	}
 	l.named, l.perSecond, l.confirmedAt, l.trial = named, perSecond, now, false
 }
 
@@ -141,7 +150,10 @@
 	switch {
 	case r.Named:
 		l.inHealth = l.inHealth || fromHealth
-	case !l.named, !r.Conclusive, fromHealth && !l.inHealth, r.AskedAt.Before(l.confirmedAt):
+	case !s.limited[t], !r.Conclusive, fromHealth && !l.inHealth, r.AskedAt.Before(l.confirmedAt):
+		return
+	case !l.named:
+		l.toldAt = now
 		return
 	}
 	l.toldAt = now
@@ -162,6 +174,7 @@
 	l := &t.limit
 	changed := l.named != n.Named || l.perSecond != n.PerSecond
 	if !l.named && !n.Named {
+		l.spreadAt = now
 		return false
 	}
 	l.set(n.Named, n.PerSecond, now)
@@ -180,14 +193,14 @@
 		l := &t.limit
 		// A process that was paused doesn't spread what it was told before.
 		fresh := now.Sub(l.toldAt) <= maxToldAge && l.toldAt.After(l.spreadAt)
-		if fresh && (l.changed || l.named && now.Sub(l.spreadAt) >= limitRefresh) {
+		if fresh && (l.changed || now.Sub(l.spreadAt) >= limitRefresh) {
 			news = append(news, LimitNews{Service: s.name, Target: t.Name, Born: t.startedMs, Named: l.named, PerSecond: l.perSecond, Changed: l.changed})
 			l.spreadAt, l.changed = now, false
 		}
 		if l.named && now.Sub(l.confirmedAt) >= l.trialDelay(float64(t.affinity)/math.MaxUint64) {
 			l.trial, l.confirmedAt = true, now
 		}
-		if !l.named || s.targets[t.Name] != t {
+		if !l.named && now.Sub(l.endedAt) >= endTime || s.targets[t.Name] != t {
 			delete(s.limited, t)
 		}
 	}
--- a/placer/limit_test.go
+++ b/placer/limit_test.go
@@ -32,9 +32,9 @@
 	known map[int]time.Time
 	// renewAt is when the entry renews its share, until when its share ends then.
 	renewAt, until time.Time
-	// frozenUntil and cutUntil are the ends of faults, and excusedUntil when the
-	// entry counts again. toldAt is when an answer first named the limit.
-	frozenUntil, cutUntil, excusedUntil, toldAt time.Time
+	// frozenUntil, cutUntil and refusedUntil are the ends of faults, and excusedUntil
+	// when the entry counts again. toldAt is when an answer first named the limit.
+	frozenUntil, cutUntil, refusedUntil, excusedUntil, toldAt time.Time
 }
 
 const (
@@ -84,7 +84,7 @@
 		if f.now.Before(e.frozenUntil) {
 			continue
 		}
-		if !f.now.Before(e.renewAt) && !f.now.Before(e.cutUntil) {
+		if !f.now.Before(e.renewAt) && !f.now.Before(e.cutUntil) && !f.now.Before(e.refusedUntil) {
 			f.renew(e)
 		}
 		if !f.now.Before(e.cutUntil) {
@@ -130,7 +130,7 @@
 func (f *limitedFleet) harm(t *rapid.T) {
 	e := f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry")]
 	d := time.Duration(rapid.IntRange(1, 15).Draw(t, "seconds")) * time.Second
-	switch rapid.IntRange(0, 4).Draw(t, "fault") {
+	switch rapid.IntRange(0, 5).Draw(t, "fault") {
 	case 0:
 		f.start(e)
 		e.excusedUntil = f.now.Add(contact)
@@ -148,6 +148,12 @@
 			f.start(e)
 			e.excusedUntil = f.now.Add(contact)
 		}
+	case 5:
+		// The store refuses a third of the entries and divides the partitions anew.
+		for range (len(f.entries) + 2) / 3 {
+			f.entries[f.random.IntN(len(f.entries))].refusedUntil = f.now.Add(d)
+		}
+		f.deal()
 	}
 }
 
@@ -365,3 +371,27 @@
 		})
 	}
 }
+
+// An entry that doesn't hear that a limit has ended, and may send too little to be told by
+// an answer, must hear it again.
+func TestEndOfLimitIsToldOnce(t *testing.T) {
+	u := Usable{Registration: Registration{Name: "t", DataCentre: "here", Slots: 2}}
+	told, other := limitedService(u), limitedService(u)
+	lost := false
+	for at := now; at.Before(now.Add(5 * time.Second)); at = at.Add(50 * time.Millisecond) {
+		told.Finish(told.targets["t"], Result{Answered: true, Limit: LimitReport{Conclusive: true, AskedAt: at}}, at)
+		for _, n := range told.LimitNews(at) {
+			if !n.Named && !lost {
+				lost = true
+				continue
+			}
+			other.HearLimit(n, at)
+		}
+	}
+	if other.targets["t"].limit.named {
+		t.Error("the other entry keeps to the limit 5 s after its end")
+	}
+	if len(told.limited) > 0 {
+		t.Errorf("the end is still told after 5 s")
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -96,8 +96,8 @@
 	mu      sync.Mutex
 	rand    *rand.Rand
 	targets map[loader.TargetName]*Target
-	// limited holds all targets that are known to name a limit, and those of which
-	// peers have yet to be told that they no longer do.
+	// limited holds all targets that are known to name a limit, and for endTime those
+	// that no longer do.
 	limited map[*Target]bool
 	// away holds the limits of targets that are no longer listed, until awayLimitTTL
 	// has passed.
