Let few entries ask at a time whether a limit still holds

What callers saw: nothing yet. A target in need that hardly gets requests, with many entries in front of it, gets a wave of them.

Cause: an entry that hears nothing of a limit for long asks with one request beyond its quotas. All entries last heard at the same time, and asked within ten seconds of each other; until the first one was answered, dozens had asked. The simulated target of the tests answered at once, which hid it. Evidence: TestPropertyLimitHoldsOverTheFleet with a target that takes up to 0.9 s for a request: after 18 cases, 15 requests in 4 s at a limit of 1.6, of which 14 are allowed, 16 of them to ask. With one that answers at once it fails after 2,117 cases (7 of 6 at a limit of 0.3). Result: TestAllEntriesAskAtOnce failed before and passes; the property fails before and passes with 1,500 cases. Its last check waits for the longest time after which an entry asks, which is now 150 s.

--- a/limiter/quota.go
+++ b/limiter/quota.go
@@ -81,11 +81,15 @@
 	// maxNamedQuotas is less than the number of partitions of a fleet, so that the
 	// quotas that partitions carry add up to the whole rate.
 	maxNamedQuotas = 200
+	// namedReserve is the part of what a target tolerates, in requests, that is left to
+	// entries without a quota that ask whether the limit still holds.
+	namedReserve = 1
 )
 
 func (l NamedLimit) quotas() int {
 	rate := float64(l) * namedWindow.Seconds()
-	return int(min(maxNamedQuotas, max(1, math.Floor((safetyFactor*(namedExcess*rate+namedSlack)-rate)/quotaBurst))))
+	tolerated := safetyFactor*(namedExcess*rate+namedSlack) - namedReserve
+	return int(min(maxNamedQuotas, max(1, math.Floor((tolerated-rate)/quotaBurst))))
 }
 
 func (l NamedLimit) rate() float64 { return float64(l) }
--- a/placer/limit.go
+++ b/placer/limit.go
@@ -31,9 +31,11 @@
 	// minTrialDelay is the least time without confirmation after which an entry asks
 	// with a request that its quotas don't allow, and trialRequests the number of
 	// requests at the rate of the limit for which it waits, if they take longer. Each
-	// entry adds up to as much again, so that they don't all ask at once.
+	// entry adds up to trialSpread times as much, so that the first one can tell the
+	// others before they ask too.
 	minTrialDelay = 10 * time.Second
 	maxTrialDelay = 30 * time.Second
+	trialSpread   = 4
 	trialRequests = 3
 	// awayLimitTTL is how long the limit of a target that is no longer listed is kept.
 	awayLimitTTL = 10 * time.Minute
@@ -60,6 +62,9 @@
 	// Named is unset if the target no longer names a limit.
 	Named     bool               `cbor:"3,keyasint,omitempty"`
 	PerSecond limiter.NamedLimit `cbor:"4,keyasint,omitempty"`
+	// Asking is set if the entry that sends it has heard nothing for long and asks the
+	// target, so that others need not. It says nothing of the limit.
+	Asking bool `cbor:"5,keyasint,omitempty"`
 	// Changed is set if the entry that sends it was told of a change.
 	Changed bool `cbor:"-"`
 }
@@ -92,7 +97,7 @@
 	if float64(l.perSecond)*maxTrialDelay.Seconds() > trialRequests {
 		d = max(minTrialDelay, time.Duration(trialRequests/float64(l.perSecond)*float64(time.Second)))
 	}
-	return d + time.Duration(fraction*float64(d))
+	return d + time.Duration(trialSpread*fraction*float64(d))
 }
 
 // set applies what is known of the limit. A limit that is new begins without tokens.
@@ -172,6 +177,10 @@
 		return false
 	}
 	l := &t.limit
+	if n.Asking {
+		l.confirmedAt = now
+		return false
+	}
 	changed := l.named != n.Named || l.perSecond != n.PerSecond
 	if !l.named && !n.Named {
 		l.spreadAt = now
@@ -198,6 +207,7 @@
 			l.spreadAt, l.changed = now, false
 		}
 		if l.named && now.Sub(l.confirmedAt) >= l.trialDelay(float64(t.affinity)/math.MaxUint64) {
+			news = append(news, LimitNews{Service: s.name, Target: t.Name, Born: t.startedMs, Asking: true})
 			l.trial, l.confirmedAt = true, now
 		}
 		if !l.named && now.Sub(l.endedAt) >= endTime || s.targets[t.Name] != t {
--- a/placer/limit_test.go
+++ b/placer/limit_test.go
@@ -22,6 +22,8 @@
 	random     *rand.Rand
 	// inHealth is set if answers to health checks name the limit.
 	inHealth bool
+	// work is how long the target takes for a request.
+	work time.Duration
 }
 
 type limitedEntry struct {
@@ -35,6 +37,8 @@
 	// frozenUntil, cutUntil and refusedUntil are the ends of faults, and excusedUntil
 	// when the entry counts again. toldAt is when an answer first named the limit.
 	frozenUntil, cutUntil, refusedUntil, excusedUntil, toldAt time.Time
+	// sent holds the times at which the requests were sent that are not answered yet.
+	sent []time.Time
 }
 
 const (
@@ -42,13 +46,15 @@
 	renewInterval  = 4 * time.Second
 	membershipTime = 12 * time.Second
 	contact        = 3 * time.Second
+	// longestTrialDelay is the time after which every entry has asked again.
+	longestTrialDelay = (1 + trialSpread) * maxTrialDelay
 )
 
 // start replaces an entry by a new process that knows nothing.
 func (f *limitedFleet) start(e *limitedEntry) {
 	e.service = New("s", "here", f.random.Uint64())
 	e.service.SetTargets([]Usable{{Registration: Registration{Name: limitedTarget, DataCentre: "here", Slots: 1000}}}, f.now)
-	e.known, e.renewAt, e.toldAt = map[int]time.Time{}, f.now, time.Time{}
+	e.known, e.renewAt, e.toldAt, e.sent = map[int]time.Time{}, f.now, time.Time{}, nil
 }
 
 // deal divides the partitions anew.
@@ -92,7 +98,14 @@
 		}
 		t := e.service.targets[limitedTarget]
 		if f.random.IntN(20) == 0 {
-			e.service.Report(t, Report{Limit: f.report(f.inHealth)}, f.now)
+			e.service.Report(t, Report{Limit: f.report(f.inHealth, f.now)}, f.now)
+		}
+		for len(e.sent) > 0 && !f.now.Before(e.sent[0].Add(f.work)) {
+			e.service.Finish(t, Result{Answered: true, Limit: f.report(true, e.sent[0])}, f.now)
+			e.sent = e.sent[1:]
+			if f.limit > 0 && e.toldAt.IsZero() {
+				e.toldAt = f.now
+			}
 		}
 		for range 2 {
 			if f.random.IntN(4) != 0 || !e.service.Start(t, f.now) {
@@ -102,10 +115,7 @@
 			if !e.toldAt.IsZero() && f.now.Sub(e.toldAt) >= 500*time.Millisecond && !f.now.Before(e.excusedUntil) {
 				counted++
 			}
-			e.service.Finish(t, Result{Answered: true, Limit: f.report(true)}, f.now)
-			if f.limit > 0 && e.toldAt.IsZero() {
-				e.toldAt = f.now
-			}
+			e.sent = append(e.sent, f.now)
 		}
 	}
 	for _, e := range f.entries {
@@ -118,12 +128,12 @@
 	return counted, all
 }
 
-// report is what an answer of the target says.
-func (f *limitedFleet) report(named bool) LimitReport {
+// report is what the answer to a request that was sent at a time says.
+func (f *limitedFleet) report(named bool, askedAt time.Time) LimitReport {
 	if f.limit > 0 && named {
 		return LimitReport{Named: true, PerSecond: f.limit}
 	}
-	return LimitReport{Conclusive: true, AskedAt: f.now}
+	return LimitReport{Conclusive: true, AskedAt: askedAt}
 }
 
 // harm lets a fault begin at an entry, or changes the group.
@@ -165,6 +175,7 @@
 		f := &limitedFleet{
 			now: now, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
 			inHealth: rapid.Bool().Draw(t, "in health checks"),
+			work:     rapid.SampledFrom([]time.Duration{0, 200, 900}).Draw(t, "work in ms") * time.Millisecond,
 		}
 		f.partitions = rapid.SampledFrom([]int{240, 480}).Draw(t, "partitions")
 		f.entries = make([]*limitedEntry, rapid.SampledFrom([]int{1, 2, 3, 4, 8, 16, 16, 30, 119, 312}).Draw(t, "entries"))
@@ -219,13 +230,13 @@
 		if !faults && rate >= 2 && keeping > len(f.entries)/5 {
 			t.Fatalf("%d of %d entries keep to a limit 5 s after its end", keeping, len(f.entries))
 		}
-		f.now = f.now.Add(2 * maxTrialDelay)
+		f.now = f.now.Add(longestTrialDelay)
 		for range 100 {
 			f.step()
 		}
 		for i, e := range f.entries {
 			if e.service.targets[limitedTarget].limit.named {
-				t.Fatalf("entry %d keeps to a limit %v after its end", i, 2*maxTrialDelay)
+				t.Fatalf("entry %d keeps to a limit %v after its end", i, longestTrialDelay)
 			}
 		}
 	})
@@ -395,3 +406,40 @@
 		t.Errorf("the end is still told after 5 s")
 	}
 }
+
+// Of many entries that have heard nothing for long, only few ask a target at a time, until
+// one is answered.
+func TestAllEntriesAskAtOnce(t *testing.T) {
+	const entries, answerAfter, tick = 312, 900 * time.Millisecond, 50 * time.Millisecond
+	random := rand.New(rand.NewPCG(4, 2))
+	u := Usable{Registration: Registration{Name: "t", DataCentre: "here", Slots: 2}}
+	var services []*Service
+	for range entries {
+		s := New("s", "here", random.Uint64())
+		s.SetTargets([]Usable{u}, now)
+		s.HearLimit(LimitNews{Service: "s", Target: "t", Named: true, PerSecond: 1.6}, now)
+		services = append(services, s)
+	}
+	asked, end := 0, now.Add(longestTrialDelay)
+	for at := now; at.Before(end); at = at.Add(tick) {
+		var news []LimitNews
+		for _, s := range services {
+			news = append(news, s.LimitNews(at)...)
+			if s.Start(s.targets["t"], at) {
+				if asked++; asked == 1 {
+					end = at.Add(answerAfter)
+				}
+			}
+		}
+		for _, s := range services {
+			for _, n := range news {
+				s.HearLimit(n, at)
+			}
+		}
+	}
+	// What the target tolerates in 4 s beyond the rate and the bursts of the five quotas.
+	const most = 3
+	if asked == 0 || asked > most {
+		t.Errorf("%d of %d entries asked at once", asked, entries)
+	}
+}
