Keep a limit when an answer names an invalid one

What callers saw: nothing yet. A target in need that garbles its limit gets requests without one.

Cause: an invalid header counted as a missing one, which ends the limit. Evidence: reading the change of the limits for what ends them; the new test. Change: an invalid header says nothing. Result: TestInvalidLimitEndsLimit failed before for two of four headers and passes.

--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -12,10 +12,11 @@
 )
 
 // limitReport returns what an answer of a target says of its limit, to a request sent at
-// a time. An answer that is not a success doesn't show that there is none.
+// a time. An answer that is not a success, or names an invalid limit, doesn't show that
+// there is none.
 func limitReport(h http.Header, success bool, askedAt time.Time) placer.LimitReport {
-	perSecond, named := platform.Limit(h)
-	return placer.LimitReport{Named: named, PerSecond: perSecond, Conclusive: success && !named, AskedAt: askedAt}
+	perSecond, named, err := platform.Limit(h)
+	return placer.LimitReport{Named: named, PerSecond: perSecond, Conclusive: success && !named && err == nil, AskedAt: askedAt}
 }
 
 // limitReport returns what the answer to an attempt that was sent at a time says of the
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -98,3 +98,18 @@
 		t.Errorf("without an answer: %+v", got)
 	}
 }
+
+// An answer with an invalid limit neither names one nor ends one.
+func TestInvalidLimitEndsLimit(t *testing.T) {
+	for text, want := range map[string]placer.LimitReport{
+		"": {Conclusive: true}, "2.5": {Named: true, PerSecond: 2.5}, "2.5, 3": {}, "-1": {},
+	} {
+		h := http.Header{}
+		if text != "" {
+			h.Set("Server-Limit", text)
+		}
+		if got := limitReport(h, true, time.Time{}); got != want {
+			t.Errorf("%q: %+v, want %+v", text, got, want)
+		}
+	}
+}
