Wake late requests when limits end

What callers saw: nothing yet. A request that waits for limits is refused though they have ended meanwhile.

Cause: a late request that found no room rested until the next token was due, which may be many seconds, and had no turn before. Evidence: reading the change; the new test. Change: it rests for 100 ms, as without limits. Only the look that the queue asks for is put off until the token. Result: TestLateRequestMissesTheEndOfLimits failed before and passes.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -183,9 +183,8 @@
 	if t.request.onTime(now) {
 		return q.enqueue(t, max(limited, lookAfter(roomIn)))
 	}
-	wait := max(limited, lateLookInterval)
-	t.restUntil = now.Add(wait)
-	return q.enqueue(t, wait)
+	t.restUntil = now.Add(lateLookInterval)
+	return q.enqueue(t, max(limited, lateLookInterval))
 }
 
 // Placed ends the look of a request that got a target. The next one may look, as
--- a/admitter/limit_test.go
+++ b/admitter/limit_test.go
@@ -113,3 +113,27 @@
 		t.Errorf("%+v, want a look after 1 s", v)
 	}
 }
+
+// endingLimits allow nothing for a minute, unless they have ended.
+type endingLimits struct{ ended bool }
+
+func (l *endingLimits) Allowance(time.Duration, time.Time) (int, bool) { return 1, !l.ended }
+
+func (l *endingLimits) LimitDelay(time.Time) (time.Duration, bool) {
+	if l.ended {
+		return 0, true
+	}
+	return time.Minute, true
+}
+
+// A late request that waits for limits has its turn soon after they have ended.
+func TestLateRequestMissesTheEndOfLimits(t *testing.T) {
+	limits := &endingLimits{}
+	q := New(func() float64 { return 0 }, WithLimits(limits))
+	ticket := wait(t, q, request(0, 50*time.Millisecond, 9*time.Second), start)
+	limits.ended = true
+	q.Wake(start.Add(lateLookInterval))
+	if !hasTurn(ticket) {
+		t.Error("no turn")
+	}
+}
