--- a/admitter/order.go
+++ b/admitter/order.go
@@ -5,8 +5,8 @@
 // before reports whether the ticket gets a target before another. Requests that can
 // be on time go before those that can't: a target that is given to a late one makes
 // another one late, in a burst in the end all of them. Among those that can, the more
-// urgent route goes first, then the one with the least time left. Among late ones only the time left until the deadline
-// counts.
+// urgent route goes first, then the one with the least time left. Among late ones only
+// the time left until the deadline counts.
 func (t *Ticket) before(other *Ticket, now time.Time) bool {
 	onTime, otherOnTime := t.request.onTime(now), other.request.onTime(now)
 	if onTime != otherOnTime {
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -87,8 +87,9 @@
 	return float64(t.occupancy()+1) <= max(1, saturationThreshold*float64(t.slots))
 }
 
-// hasRoomForLate tells whether all candidates have room below saturation. In an overload a target is idle for moments only; a request that will be late and takes
-// such a moment makes another one late.
+// hasRoomForLate tells whether all candidates have room below saturation. In an overload
+// a target is idle for moments only; a request that will be late and takes such a moment
+// makes another one late.
 func (s *Service) hasRoomForLate(candidates []*Target, now time.Time) bool {
 	n := 0
 	for _, t := range candidates {
--- a/tracker/news.go
+++ b/tracker/news.go
@@ -31,8 +31,8 @@
 	Changes []Change `cbor:"4,keyasint,omitempty"`
 }
 
-// Change is the change that one record makes, or several that were skipped. Exactly one field besides Offset is
-// set. The changes of a snapshot have no offset.
+// Change is the change that one record makes, or several that were skipped. Exactly one
+// field besides Offset is set. The changes of a snapshot have no offset.
 type Change struct {
 	Offset     Offset               `cbor:"0,keyasint"`
 	Register   *placer.Registration `cbor:"1,keyasint,omitempty"`
