Allow a stopping entry to break off a download that its target broke off

A response that is forwarded while it arrives can't be turned into an error any more; the platform's rule doesn't count a request whose target broke off. Change: such a download isn't counted if it ran once, at a target that had a fault of itself or its link at the time.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -87,6 +87,7 @@
 		result.status = c.readResponse(resp, id, path, len(body))
 	}
 	incarnationAfter, stable, terminating := p.state(sentAt)
+	result.streamed, result.endedAt = path == downloadPath, time.Now()
 	result.stable = stable && incarnationAfter == incarnation
 	result.duringStop = terminating && result.stable && callCtx.Err() == nil
 	c.s.checker.record(result)
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -75,11 +75,13 @@
 		f.process.store.setFault(noLinkFault)
 	}},
 	{"target link fault", 4, func(_ *Soaker, f faultParams) {
+		defer f.target.disturb()()
 		f.target.link.setFault(linkFault(1 + f.variant%4))
 		time.Sleep(f.duration)
 		f.target.link.setFault(noLinkFault)
 	}},
 	{"target response fault", 4, func(_ *Soaker, f faultParams) {
+		defer f.target.disturb()()
 		behaviours := []standin.Behaviour{standin.Shed, standin.Fail, standin.Drop, standin.Hang, standin.Unsealed, standin.Truncate}
 		f.target.injectBehaviour(behaviours[f.variant%len(behaviours)], 1+int64(f.variant%3))
 		time.Sleep(f.duration)
--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -42,7 +42,10 @@
 	// stable is set if the entry had been without a fault and a restart for settleTime
 	// when the request was sent, and until it ended.
 	stable bool
-	sentAt time.Time
+	// streamed is set if entries forward the response while it arrives. If the target
+	// breaks it off, the entry can only do the same.
+	streamed        bool
+	sentAt, endedAt time.Time
 }
 
 // checker records the outcomes of requests and collects violations.
@@ -83,9 +86,11 @@
 // after the callers have returned.
 func (c *checker) check(targets []*target) {
 	runs := map[string]int{}
+	ranAt := map[string]*target{}
 	for _, t := range targets {
 		for id, n := range t.Runs() {
 			runs[id] += n
+			ranAt[id] = t
 		}
 	}
 	c.mu.Lock()
@@ -98,6 +103,7 @@
 			c.addViolation("at most once", "request %s ran %d times; its caller got status %d from %s", o.id, n, o.status, o.entry)
 		case !o.safe && n > 0 && platform.PromisesNotRun(o.status):
 			c.addViolation("rejected requests do not run", "request %s ran, although %s rejected it with status %d", o.id, o.entry, o.status)
+		case o.streamed && n == 1 && ranAt[o.id].mayHaveBrokenOff(o.sentAt, o.endedAt):
 		case o.duringStop && o.status == 0 && n > 0:
 			c.addViolation("graceful shutdown", "request %s, sent at %.3f s to %s, ran, but its caller got no complete response", o.id, o.sentAt.Sub(c.start).Seconds(), o.entry)
 		}
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -14,6 +14,9 @@
 	// 23 and 55 reported a request as run and cut off that had not run: callers
 	// of the start and of the recovery phase used the same request IDs.
 	23,
+	// 5028 reported a download as cut off by a stopping entry whose target had broken it
+	// off.
+	5028,
 }
 
 // TestSoak guards against violations of the guarantees without a time bound, by
--- a/soaker/target.go
+++ b/soaker/target.go
@@ -36,12 +36,44 @@
 	// drainingSince is when the target was registered as draining, or zero.
 	drainingSince time.Time
 
+	disturbedMu sync.Mutex
+	// disturbed holds the periods of faults in which the target or its link may have
+	// broken off responses. The end of a period is zero while it lasts.
+	disturbed []period
+
 	limitMu sync.Mutex
 	// limits holds the periods in which the target named a limit, oldest first. The
 	// end of the last one is zero while it does.
 	limits []limitPeriod
 }
 
+// period is a span of time.
+type period struct{ from, until time.Time }
+
+// disturb records the beginning of a fault of the target or its link. The function that
+// it returns records the end.
+func (t *target) disturb() func() {
+	t.disturbedMu.Lock()
+	defer t.disturbedMu.Unlock()
+	i := len(t.disturbed)
+	t.disturbed = append(t.disturbed, period{from: time.Now()})
+	return func() {
+		t.disturbedMu.Lock()
+		defer t.disturbedMu.Unlock()
+		t.disturbed[i].until = time.Now()
+	}
+}
+
+// mayHaveBrokenOff reports whether there was a fault of the target or its link between
+// two times.
+func (t *target) mayHaveBrokenOff(from, until time.Time) bool {
+	t.disturbedMu.Lock()
+	defer t.disturbedMu.Unlock()
+	return slices.ContainsFunc(t.disturbed, func(d period) bool {
+		return d.from.Before(until) && (d.until.IsZero() || d.until.After(from))
+	})
+}
+
 // limitPeriod is a time in which a target named a limit.
 type limitPeriod struct {
 	perSecond   float64
