--- a/admitter/limit_test.go
+++ b/admitter/limit_test.go
@@ -60,6 +60,35 @@
 	}
 }
 
+// A queue that knows the limits serves as many requests in time as one that doesn't, but
+// for what a replay varies by, makes no more health checks, and holds refused requests for
+// half of the time at most.
+func TestReplayLimitedRequestsLoseTime(t *testing.T) {
+	const seeds, variation = 12, 0.03
+	for _, p := range limitPatterns {
+		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
+			p.from, p.until = 2*time.Second, 5*time.Second
+			var sums [policies]counts
+			for seed := range uint64(seeds) {
+				for _, policy := range []policy{queueing, unaware} {
+					sums[policy].add(newFleet(p, policy, seed).run())
+				}
+			}
+			aware, before := sums[queueing], sums[unaware]
+			if aware.held > before.held/2 {
+				t.Errorf("refused requests were held for %v, without knowledge of limits %v", aware.held, before.held)
+			}
+			if aware.share(aware.probes) > before.share(before.probes) {
+				t.Errorf("%.2f probes a request, without knowledge of limits %.2f", aware.share(aware.probes), before.share(before.probes))
+			}
+			if got, want := aware.share(aware.inTime), before.share(before.inTime); got < want-variation {
+				t.Errorf("in time: %.3f, without knowledge of limits %.3f", got, want)
+			}
+		})
+	}
+}
+
 // meanHold is how long a refused attempt had waited, on average.
 func (c counts) meanHold() time.Duration { return c.held / time.Duration(max(1, c.refusals)) }
 
