Log by which fingerprint an unserved request is recognised

Cause: the lines of an entry name a request by its ID, which is new each time its caller sends it again. So they can't show that several failures are those of one request.

Change: the line of a request that was refused or failed holds `Fingerprint`, a hash of its caller, method, host, path, query, length and buffered body.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,8 @@
 	route   *router.Active
 	service *service
 	request transporter.Request
+	// caller is the IP address that the request came from.
+	caller netip.Addr
 	// body is the part of the request's body that is still to be read from the
 	// caller; nil if the whole body is in request.
 	body    *streamedBody
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -81,6 +81,9 @@
 	if e == nil {
 		return
 	}
+	if outcome != "served" {
+		e = e.Str("Fingerprint", fingerprint(c.caller, c.request).String())
+	}
 	attempts := zerolog.Arr()
 	for _, a := range c.attempts {
 		attempts.Object(a)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -86,7 +86,7 @@
 	}
 	c := &call{
 		g: g, route: route, service: snap.services[route.Next()], request: request, arrived: arrived, deadline: deadline,
-		version: snap.router.Config().Version,
+		version: snap.router.Config().Version, caller: callerAddr(r.RemoteAddr),
 	}
 	result := c.run(r.Context())
 	c.report(result, r.Context().Err() != nil)
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -13,6 +13,7 @@
 package isolator
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,9 @@
 // same fingerprint.
 type Fingerprint uint64
 
+// String formats the fingerprint as a hexadecimal number.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Strike reports that the connection of a call broke at a target before the
 // response began.
 type Strike struct {
