Show that a request crashes target after target, by a test that fails

Cause: nothing links a request that comes again to the targets that it crashed. Each arrival gets a new ID, and the limit on attempts holds for one arrival.

TestRequestCrashesTargetAfterTarget sends such a request to four entries in turn, beside requests that crash nothing.

--- /dev/null
+++ b/gateway/isolate_test.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"savoryroad.dev/platform/standin"
+)
+
+// lethalPath is part of the paths of requests that crash the targets that run them.
+const lethalPath = "lethal"
+
+// crashOnLethal makes the targets of a fleet crash under lethal requests, and registers
+// those that are back. It returns a function that returns the times of the crashes.
+func crashOnLethal(f *fleet) (crashes func() []time.Time) {
+	var mu sync.Mutex
+	var at []time.Time
+	for _, target := range f.targets {
+		target.SetBehaviour(func(r *http.Request) standin.Behaviour {
+			if !strings.Contains(r.URL.Path, lethalPath) {
+				return standin.Serve
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			at = append(at, time.Now())
+			return standin.Crash
+		})
+	}
+	stop := make(chan struct{})
+	var register sync.WaitGroup
+	register.Go(func() {
+		registered := map[*standin.Target]int{}
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+			for _, target := range f.targets {
+				if n := target.Crashes(); n > registered[target] && !target.IsDown() {
+					f.store.Register(target, "s", "home", target.Address(), "ready", 1, 0)
+					registered[target] = n
+				}
+			}
+		}
+	})
+	f.t.Cleanup(func() {
+		close(stop)
+		register.Wait()
+	})
+	return func() []time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]time.Time(nil), at...)
+	}
+}
+
+// later returns how many crashes came later than contact after the third.
+func later(crashes []time.Time, contact time.Duration) (n int) {
+	for _, at := range crashes {
+		if len(crashes) >= 3 && at.Sub(crashes[2]) > contact {
+			n++
+		}
+	}
+	return n
+}
+
+// A request that crashes the targets that run it, and comes again at any entry, must
+// reach targets at most three times later than contact after it has crashed the third.
+// Requests of other callers and to other paths are served meanwhile.
+func TestRequestCrashesTargetAfterTarget(t *testing.T) {
+	for _, c := range []struct{ method, path string }{
+		{http.MethodGet, "/safe/" + lethalPath}, {http.MethodPost, "/unsafe/" + lethalPath},
+	} {
+		t.Run(c.path, func(t *testing.T) {
+			t.Parallel()
+			const contact, maxLater = 3 * time.Second, 3
+			f := newFleet(t, 4, 8)
+			crashes := crashOnLethal(f)
+			for _, target := range f.targets {
+				target.Work = 20 * time.Millisecond
+			}
+			harmless := strings.Replace(c.path, lethalPath, "harmless", 1)
+			stop := make(chan struct{})
+			var others sync.WaitGroup
+			for i, e := range f.entries {
+				others.Go(func() {
+					for n := 0; ; n++ {
+						select {
+						case <-stop:
+							return
+						case <-time.After(5 * time.Millisecond):
+						}
+						f.call(e, c.method, fmt.Sprint(harmless, i), fmt.Sprint("h", i, "-", n), nil)
+					}
+				})
+			}
+			var last reply
+			for i, began := 0, time.Now(); time.Since(began) < contact+3*time.Second; i++ {
+				last = f.call(f.entries[i%len(f.entries)], c.method, c.path, fmt.Sprint("l", i), nil)
+				time.Sleep(30 * time.Millisecond)
+			}
+			close(stop)
+			others.Wait()
+			at := crashes()
+			t.Logf("%d targets crashed", len(at))
+			if n := later(at, contact); n > maxLater {
+				t.Errorf("%d targets crashed, %d of them later than %v after the third, want at most %d", len(at), n, contact, maxLater)
+			}
+			if last.status != http.StatusServiceUnavailable || last.header.Get("Retry-After") == "" {
+				t.Errorf("the request got status %d, Retry-After %q", last.status, last.header.Get("Retry-After"))
+			}
+			f.waitUntil(func() bool {
+				for i, e := range f.entries {
+					for n := range f.entries {
+						if f.call(e, c.method, fmt.Sprint(harmless, n), fmt.Sprint("end", i, n, time.Now().UnixNano()), nil).status != http.StatusOK {
+							return false
+						}
+					}
+				}
+				return true
+			})
+		})
+	}
+}
