Block requests that crash targets at all entries

Callers saw: a request under which targets end came again, with a new ID and at any entry, and ended one or two targets each time. The other requests at these targets were broken off.

Cause: no entry linked a request to the targets that had ended under it. The limit on attempts holds for one arrival; over returns and entries the harm had no bound.

Change: an entry whose connection breaks off asks the target at once; if it has ended, the crash is recorded under the request's fingerprint. isolator.Registry exchanges the cases by gossip: with three home entries, from the second crash on with all, again each 1.2 s by one entry, for those that were cut off or have restarted. From three crashes on the request is refused everywhere as not run, for 10 min and longer after each further one; an answer clears it. Blocked requests are saved in the store, for entries that start after all have stopped. Memory is bounded. The check of a target's health returns why it failed. It works because the decision no longer depends on which entry sees the request, and because a target that only resets connections doesn't count as ended.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -202,9 +202,12 @@
 // canRetry reports whether the call may be sent to another target. A call that
 // may have run is retried only if its route is idempotent, and one with a streamed
 // body only if none of that body has been read: a further target would get a
-// truncated one. The route's limit on attempts doesn't apply after an attempt of
+// truncated one. A call that crashes targets is not retried. The route's limit on attempts doesn't apply after an attempt of
 // which no byte was sent.
 func (c *call) canRetry(r attemptResult) bool {
+	if _, blocked := c.refuseBlocked(); blocked {
+		return false
+	}
 	if c.mayHaveRun && !c.route.Class.Idempotent() {
 		return false
 	}
@@ -240,6 +243,9 @@
 	if !c.route.Class.Idempotent() || c.inFlight != 1 || c.sends >= c.route.MaxAttempts || c.body != nil {
 		return
 	}
+	if _, blocked := c.refuseBlocked(); blocked {
+		return
+	}
 	if _, onTime := c.service.admitter.Len(time.Now()); onTime > 0 {
 		return // first attempts wait for the room that a hedge would take
 	}
@@ -360,6 +366,7 @@
 	if a != nil && r.notRun && a.Status == http.StatusMisdirectedRequest {
 		c.service.placer.Miss(t, now)
 	}
+	c.noteOutcome(r)
 	return r
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,8 +5,8 @@
 //	err := g.Run(ctx)
 //
 // A request passes through serve.go (routing and answers), call.go (attempts,
-// retries and hedges), wait.go (the queue for targets) and look.go (health checks of
-// targets). The entry receives the state of the fleet from the store (follow.go) and
+// retries and hedges), wait.go (the queue for targets), look.go (health checks of
+// targets) and isolate.go (requests that crash targets). The entry receives the state of the fleet from the store (follow.go) and
 // from its peers (news.go), and acquires its share of the fleet's limits in share.go.
 // The control loop in board.go passes all of this to the model and publishes the
 // snapshot that requests read. The entry stops in the steps of stop.go.
@@ -30,6 +30,7 @@
 	"github.com/rs/zerolog"
 
 	"savoryroad.dev/gossiper"
+	"savoryroad.dev/isolator"
 	"savoryroad.dev/limiter"
 	"savoryroad.dev/loader"
 	"savoryroad.dev/platform"
@@ -70,6 +71,12 @@
 	// limitChanges counts the changes of targets' limits.
 	limitChanges metrics.Counter
 	gossiper     *gossiper.Gossiper
+	// isolator holds the requests that crash targets. CrashesLoaded is set once those of
+	// earlier times are known, and crashes counts the targets that ended under a
+	// request of this entry.
+	isolator      *isolator.Registry
+	crashesLoaded atomic.Bool
+	crashes       metrics.Counter
 	// buffers bounds the memory of response bodies; nil means no bound.
 	buffers *transporter.Buffers
 
@@ -136,6 +143,7 @@
 		drained:    make(chan struct{}),
 		readyCh:    make(chan struct{}),
 		model:      tracker.New(rand.Float64),
+		isolator:   isolator.NewRegistry(rand.Float64),
 	}
 	if p.MemoryBytes > 0 {
 		g.buffers = transporter.NewBuffers(p.MemoryBytes / bufferMemoryDivisor)
@@ -144,6 +152,7 @@
 	g.storeReadFailures = g.recorder.Counter("store_read_failures_total")
 	g.storeReadsPartial = g.recorder.Counter("store_reads_partial_total")
 	g.limitChanges = g.recorder.Counter("target_limit_changes_total")
+	g.crashes = g.recorder.Counter("target_crashes_total")
 	g.snapshot.Store(&snapshot{})
 	g.bounds.Store(&p.Bounds)
 	g.calls, g.endCalls = context.WithCancel(context.Background())
@@ -182,6 +191,7 @@
 		g.newTask(g.receivePeerMessages),
 		g.newTask(g.discoverPeers),
 		g.newTask(g.renewShare),
+		g.newTask(g.loadCrashes),
 		g.newTask(g.watchSettings),
 	}
 	if g.tuning.Operator != 0 {
--- /dev/null
+++ b/gateway/isolate.go
@@ -0,0 +1,239 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"savoryroad.dev/gossiper"
+	"savoryroad.dev/isolator"
+	"savoryroad.dev/loader"
+	"savoryroad.dev/placer"
+	"savoryroad.dev/platform"
+	"savoryroad.dev/transporter"
+)
+
+const (
+	// crashTopic is the topic of the store that holds the cases of blocked requests, by
+	// fingerprint, for entries that start after all others have stopped.
+	crashTopic = "keyed.crashes"
+	// crashHomes is the number of entries that the crashes of a request are told to.
+	crashHomes = 3
+	// crashAskInterval and crashAskRounds are how often a starting entry asks a peer
+	// for the cases of blocked requests before it reads them from the store.
+	crashAskInterval = 400 * time.Millisecond
+	crashAskRounds   = 3
+	// crashReadJitter is the time for each peer by which an entry delays that read at
+	// random: the first one to read tells the others.
+	crashReadJitter = 17 * time.Millisecond
+	// maxCasesPerReply is the number of cases that an entry tells one that asks.
+	maxCasesPerReply = 120
+	// maxBlockedRetryAfter bounds the delay after which the caller of a blocked request
+	// may come back.
+	maxBlockedRetryAfter = 24 * time.Hour
+)
+
+// refuseBlocked returns a refusal if the call is one of those that crash targets.
+func (c *call) refuseBlocked() (refused, bool) {
+	i := c.g.isolator
+	if !i.HasSuspects() {
+		return refused{}, false
+	}
+	left, blocked := i.Blocked(c.fingerprint(), time.Now())
+	if !blocked {
+		return refused{}, false
+	}
+	return refused{reason: "targets ended while they ran the request", retryAfter: min(left, maxBlockedRetryAfter)}, true
+}
+
+// fingerprint returns the fingerprint of the call's request.
+func (c *call) fingerprint() isolator.Fingerprint { return fingerprint(c.caller, c.request) }
+
+// noteOutcome tells the isolator how an attempt has ended at its target.
+func (c *call) noteOutcome(r attemptResult) {
+	i := c.g.isolator
+	switch {
+	case r.success() && r.answer.Status < http.StatusMultipleChoices:
+		if i.HasSuspects() {
+			i.Answered(c.fingerprint(), time.Now())
+		}
+	case r.brokeOff() && c.g.hasEnded(c.service, r.target):
+		n := i.Crashed(c.fingerprint(), r.target.Name, r.target.Born(), time.Now())
+		c.g.crashes.Inc(1)
+		c.g.log.Warn().Str("Request", c.request.ID).Str("Fingerprint", c.fingerprint().String()).Str("Target", string(r.target.Name)).
+			Str("Service", string(c.service.name)).Int("Crashes", n).Msg("target ended while it ran the request")
+	}
+}
+
+// brokeOff reports whether the connection ended before the answer had arrived, by itself
+// and not because the time for the attempt was over.
+func (r attemptResult) brokeOff() bool {
+	return errors.Is(r.err, transporter.ErrNoResponse) && !isTimeout(r.err)
+}
+
+// isTimeout reports whether an error means that there was no response in time.
+func isTimeout(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+}
+
+// hasEnded reports whether a target whose connection broke off has ended: it takes no
+// connection any more, breaks off each one, or another target has its address. A target
+// that doesn't respond in time may be cut off, and one that responds resets some
+// requests only. The check counts towards the limit on health checks, but is made also
+// if that is used up: there is at most one for an attempt.
+func (g *Gateway) hasEnded(s *service, t *placer.Target) bool {
+	s.probeLimiter.Take(1, time.Now())
+	conn, err := g.probe(s, t)
+	if err == nil {
+		conn.Release()
+		return false
+	}
+	return !isTimeout(err) && !errors.Is(err, transporter.ErrBusy) && !errors.Is(err, errSpoiled)
+}
+
+// spreadCrashes sends the messages about requests that crash targets that are due.
+func (g *Gateway) spreadCrashes(ctx context.Context, now time.Time) {
+	home, all := g.isolator.News(now)
+	for _, c := range home {
+		news := isolator.News{Cases: []isolator.Case{c}, Direct: true}
+		g.gossiper.TellHomes(uint64(c.Fingerprint), crashHomes, gossiper.Message{Crashes: &news})
+	}
+	if len(all.Cases) > 0 {
+		all.Loaded = g.crashesLoaded.Load()
+		g.gossiper.Spread(gossiper.Message{Crashes: &all})
+	}
+	if unsaved := g.isolator.Unsaved(now); len(unsaved) > 0 {
+		go g.saveCases(ctx, unsaved)
+	}
+}
+
+// hearCrashes applies what a peer tells of requests that crash targets, and answers it if
+// it asks.
+func (g *Gateway) hearCrashes(from netip.Addr, n isolator.News, now time.Time) {
+	if changes := g.isolator.Hear(n, g.gossiper.Count(), now); changes > 0 {
+		g.log.WithLevel(zerolog.InfoLevel).Int("Changes", changes).Msg("blocked requests changed")
+	}
+	if n.Loaded {
+		g.crashesLoaded.Store(true)
+	}
+	if n.Ask && g.crashesLoaded.Load() {
+		g.tellCases(now, func(m gossiper.Message) { g.gossiper.Tell(from, m) })
+	}
+}
+
+// tellCases sends the cases that the entry knows, in messages of bounded length.
+func (g *Gateway) tellCases(now time.Time, send func(gossiper.Message)) {
+	cases := g.isolator.Cases(maxCasesPerReply, now)
+	for first := true; first || len(cases) > 0; first = false {
+		n := min(len(cases), isolator.MaxCasesPerMessage)
+		send(gossiper.Message{Crashes: &isolator.News{Cases: cases[:n], Loaded: len(cases) == n}})
+		cases = cases[n:]
+	}
+}
+
+// loadCrashes gets the cases of earlier times, when the entry starts: from a peer that
+// has them, or else from the store. The first entry to read them tells the others.
+func (g *Gateway) loadCrashes(ctx context.Context) {
+	if g.platform.Bootstrap {
+		g.crashesLoaded.Store(true)
+	}
+	for ctx.Err() == nil && !g.crashesLoaded.Load() {
+		for range crashAskRounds {
+			g.gossiper.TellAny(gossiper.Message{Crashes: &isolator.News{Ask: true}})
+			sleep(ctx, jitter(crashAskInterval))
+		}
+		sleep(ctx, randomUpTo(time.Duration(g.gossiper.Count())*crashReadJitter))
+		if g.crashesLoaded.Load() || ctx.Err() != nil {
+			return
+		}
+		cases, err := g.readCases(ctx, time.Now())
+		if err != nil {
+			g.log.Info().Err(err).Msg("can't read the blocked requests")
+			continue
+		}
+		now := time.Now()
+		g.isolator.Hear(isolator.News{Cases: cases}, g.gossiper.Count(), now)
+		g.crashesLoaded.Store(true)
+		g.log.Info().Int("Cases", len(cases)).Msg("read the blocked requests")
+		g.tellCases(now, g.gossiper.Spread)
+	}
+}
+
+// savedCase is the stored form of a case.
+type savedCase struct {
+	Crashes []savedCrash
+}
+
+// savedCrash is the stored form of a crash.
+type savedCrash struct {
+	Target loader.TargetName
+	Born   int64
+	At     time.Time
+}
+
+// saveCases writes cases to the store. A failed write is not repeated: the peers know the
+// case, and the next crash writes it again.
+func (g *Gateway) saveCases(ctx context.Context, cases []isolator.Case) {
+	now := time.Now()
+	for _, c := range cases {
+		var saved savedCase
+		for _, k := range c.Crashes {
+			saved.Crashes = append(saved.Crashes, savedCrash{k.Target, k.Born, now.Add(-k.Age)})
+		}
+		data, err := json.Marshal(saved)
+		if err == nil {
+			err = g.store.Put(ctx, crashTopic, c.Fingerprint.String(), data)
+		}
+		if err != nil {
+			g.log.Warn().Err(err).Str("Fingerprint", c.Fingerprint.String()).Msg("can't save a blocked request")
+		}
+	}
+}
+
+// readCases reads the cases from the store, and removes those that are too old to count.
+func (g *Gateway) readCases(ctx context.Context, now time.Time) ([]isolator.Case, error) {
+	page, err := g.store.Newest(ctx, crashTopic)
+	if err != nil {
+		return nil, err
+	}
+	var cases []isolator.Case
+	for _, r := range page.Records {
+		c, err := decodeCase(r, now)
+		if err != nil {
+			g.log.Warn().Err(err).Str("Key", r.Key).Msg("record holds no blocked request")
+		}
+		if err != nil || c.IsExpired() {
+			if err := g.store.Put(ctx, crashTopic, r.Key, nil); err != nil {
+				g.log.Info().Err(err).Str("Key", r.Key).Msg("can't remove an old case")
+			}
+			continue
+		}
+		cases = append(cases, c)
+	}
+	return cases, nil
+}
+
+// decodeCase decodes a stored case. Times in the future, by a clock that has been set
+// back, count as now.
+func decodeCase(r platform.Record, now time.Time) (isolator.Case, error) {
+	f, err := strconv.ParseUint(r.Key, 16, 64)
+	if err != nil {
+		return isolator.Case{}, errors.Wrap(err, "fingerprint")
+	}
+	var saved savedCase
+	if err := json.Unmarshal(r.Value, &saved); err != nil {
+		return isolator.Case{}, errors.Wrap(err, "case")
+	}
+	c := isolator.Case{Fingerprint: isolator.Fingerprint(f)}
+	for _, k := range saved.Crashes {
+		c.Crashes = append(c.Crashes, isolator.Crash{Target: k.Target, Born: k.Born, Age: max(0, now.Sub(k.At))})
+	}
+	return c, nil
+}
--- a/gateway/isolate_test.go
+++ b/gateway/isolate_test.go
@@ -127,3 +127,70 @@
 		})
 	}
 }
+
+// Entries that start know the requests that were blocked before: one from its peers, and
+// all together from the store.
+func TestRestartedEntriesForgetBlockedRequests(t *testing.T) {
+	f := newFleet(t, 3, 8)
+	crashes := crashOnLethal(f)
+	isBlocked := func(e *entry) bool {
+		return f.call(e, http.MethodGet, "/safe/"+lethalPath, fmt.Sprint("l", time.Now().UnixNano()), nil).status == http.StatusServiceUnavailable
+	}
+	f.waitUntil(func() bool { return isBlocked(f.entries[0]) })
+	for _, e := range f.entries {
+		f.waitUntil(func() bool { return !e.isolator.HasSuspects() || isBlocked(e) })
+		f.waitUntil(e.crashesLoaded.Load)
+	}
+	f.waitUntil(func() bool { return len(f.store.Newest(crashTopic, blockedKey(f.entries[0]))) > 0 })
+	before := len(crashes())
+	restart := func(entries ...*entry) (restarted []*entry) {
+		for _, e := range entries {
+			e.stop()
+		}
+		for _, e := range entries {
+			<-e.done
+			restarted = append(restarted, f.startEntry(e.platform.Listen.Addr()))
+		}
+		for _, e := range restarted {
+			f.waitUntil(func() bool { return e.ready.Load() && e.crashesLoaded.Load() })
+		}
+		return restarted
+	}
+	entries := append(f.entries[1:3:3], restart(f.entries[0])...)
+	if !isBlocked(entries[2]) {
+		t.Error("an entry that has restarted doesn't block the request")
+	}
+	for i, e := range restart(entries...) {
+		if !isBlocked(e) {
+			t.Errorf("entry %d doesn't block the request after all have restarted", i)
+		}
+	}
+	if n := len(crashes()); n > before {
+		t.Errorf("%d targets crashed after the request was blocked", n-before)
+	}
+}
+
+// blockedKey returns the key under which the only blocked request of an entry is stored.
+func blockedKey(e *entry) string {
+	if cases := e.isolator.Cases(1, time.Now()); len(cases) == 1 {
+		return cases[0].Fingerprint.String()
+	}
+	return ""
+}
+
+// A target that breaks off requests but is still there has not ended. Requests that it
+// breaks off aren't blocked.
+func TestRequestThatTargetsBreakOffIsBlocked(t *testing.T) {
+	f := newFleet(t, 2, 4)
+	f.setBehaviour(standin.Drop)
+	for i := range 12 {
+		if got := f.call(f.entries[i%2], http.MethodGet, "/safe/x", fmt.Sprint("d", i), nil); got.status == http.StatusServiceUnavailable {
+			t.Fatalf("call %d was refused", i)
+		}
+	}
+	for _, e := range f.entries {
+		if e.isolator.HasSuspects() {
+			t.Error("a request is taken for one that crashes targets")
+		}
+	}
+}
--- a/gateway/look.go
+++ b/gateway/look.go
@@ -49,7 +49,9 @@
 	defer close(done)
 	for _, t := range targets {
 		go func() {
-			c := candidate{target: t, conn: g.probe(s, t)}
+			// A failed check has been reported to the placer.
+			conn, _ := g.probe(s, t)
+			c := candidate{target: t, conn: conn}
 			select {
 			case answers <- c:
 			case <-done:
@@ -82,36 +84,47 @@
 	return candidates
 }
 
+// Errors of health checks.
+var (
+	// errNotHealthCheck means that an answer doesn't answer a health check.
+	errNotHealthCheck = errors.New("the answer doesn't answer a health check")
+	// errOtherTarget means that the address belongs to another target by now.
+	errOtherTarget = errors.New("another target has the address")
+	// errSpoiled means that the connection can't carry a request.
+	errSpoiled = errors.New("the connection can't carry a request")
+)
+
 // probe sends a health check to one target and returns the leased connection
-// that carried the answer, or nil. If the check fails on a reused connection,
+// that carried the answer. If the check fails on a reused connection,
 // which the target may have closed in the meantime, it is repeated on a new one.
-func (g *Gateway) probe(s *service, t *placer.Target) *transporter.Conn {
+func (g *Gateway) probe(s *service, t *placer.Target) (*transporter.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	pool := s.pool(t)
 	conn, err := pool.Lease(ctx)
 	if err == nil && conn.Reused() {
-		if g.probeConn(ctx, s, t, conn) {
-			return conn
+		if err = g.probeConn(ctx, s, t, conn); err == nil {
+			return conn, nil
 		}
 		if ctx.Err() == nil {
 			conn, err = pool.LeaseNew(ctx)
 		}
 	}
-	switch {
-	case errors.Is(err, transporter.ErrBusy):
-		return nil
-	case err == nil && ctx.Err() == nil && g.probeConn(ctx, s, t, conn):
-		return conn
+	if errors.Is(err, transporter.ErrBusy) {
+		return nil, err
+	}
+	if err == nil {
+		if err = g.probeConn(ctx, s, t, conn); err == nil {
+			return conn, nil
+		}
 	}
 	s.placer.Miss(t, time.Now())
-	return nil
+	return nil, err
 }
 
 // probeConn sends a health check on a connection and reports the target's state
-// and load to the placer. It returns false, and closes the connection, if the
-// answer is invalid or the connection can't carry a request.
-func (g *Gateway) probeConn(ctx context.Context, s *service, t *placer.Target, conn *transporter.Conn) bool {
+// and load to the placer. It closes the connection if it returns an error.
+func (g *Gateway) probeConn(ctx context.Context, s *service, t *placer.Target, conn *transporter.Conn) error {
 	askedAt := time.Now()
 	a, err := conn.Exchange(ctx, transporter.Request{
 		Method: http.MethodGet,
@@ -122,14 +135,13 @@
 	})
 	if err != nil || a.Rest != nil || platform.Sealed(a.Header) {
 		conn.Close()
-		return false
+		return errors.CombineErrors(err, errNotHealthCheck)
 	}
 	now := time.Now()
 	if id := platform.Instance(a.Header); id != "" && id != string(t.Name) {
-		// The address now belongs to another target.
 		conn.Close()
 		s.placer.Miss(t, now)
-		return false
+		return errOtherTarget
 	}
 	report := placer.Report{Ill: a.Status != http.StatusOK}
 	report.Load, report.HasLoad = platform.Load(a.Header)
@@ -138,7 +150,7 @@
 	s.placer.Report(t, report, now)
 	if conn.Spoiled() {
 		conn.Close()
-		return false
+		return errSpoiled
 	}
-	return true
+	return nil
 }
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -13,6 +13,11 @@
 	return time.Duration(float64(d) * (1 - maxJitter*rand.Float64()))
 }
 
+// randomUpTo returns a random time from zero to limit.
+func randomUpTo(limit time.Duration) time.Duration {
+	return time.Duration(rand.Float64() * float64(limit))
+}
+
 // sleep pauses for d, or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -21,6 +21,9 @@
 	for {
 		switch v := verdict.(type) {
 		case admitter.Look:
+			if refusal, blocked := c.refuseBlocked(); blocked {
+				return selection{}, refusal
+			}
 			sel, ok := c.trySelectTarget(ctx, time.Now())
 			if ok {
 				q.Placed(ticket, time.Now())
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -13,7 +13,9 @@
 package gossiper
 
 import (
+	"cmp"
 	"context"
+	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -23,9 +25,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"savoryroad.dev/isolator"
 	"savoryroad.dev/placer"
 	"savoryroad.dev/tracker"
 )
@@ -64,6 +68,8 @@
 	Ask *tracker.Ask `cbor:"7,keyasint,omitempty"`
 	// Limits are the limits that targets have named or no longer name.
 	Limits []placer.LimitNews `cbor:"8,keyasint,omitempty"`
+	// Crashes are cases of requests that crash the targets that run them.
+	Crashes *isolator.News `cbor:"9,keyasint,omitempty"`
 }
 
 // Gossiper sends and receives messages and keeps the peer list. It is safe for
@@ -238,6 +244,25 @@
 	}
 }
 
+// TellHomes sends a message to the n entries that a key determines, without this one if it
+// is among them. Entries that know the same peers choose the same ones; a change of the
+// peer list changes at most one of them (rendezvous hashing).
+func (g *Gossiper) TellHomes(key uint64, n int, m Message) {
+	all := append(g.Peers(), g.self)
+	slices.SortFunc(all, func(a, b netip.Addr) int { return cmp.Compare(homeRank(key, a), homeRank(key, b)) })
+	for _, home := range all[:min(n, len(all))] {
+		if home != g.self {
+			g.send(home, m)
+		}
+	}
+}
+
+// homeRank returns the rank of an entry among the homes of a key; the lowest come first.
+func homeRank(key uint64, entry netip.Addr) uint64 {
+	address := entry.As16()
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(address[:], key))
+}
+
 // Leave sends a Bye to all peers, so that they remove the entry from their lists.
 func (g *Gossiper) Leave() {
 	for _, p := range g.Peers() {
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -10,6 +10,9 @@
 // A single strike blocks nothing, because a server that fails for another
 // reason breaks the connections of all the calls that it runs. A response to a
 // call removes its strikes.
+//
+// The Isolator serves the entry with its own log; gateway uses the Registry, which
+// counts only targets that have ended and exchanges its cases by gossip.
 package isolator
 
 import (
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -149,6 +149,9 @@
 	failures     int
 }
 
+// Born returns the start of the target's process, as a Unix time in milliseconds.
+func (t *Target) Born() int64 { return t.startedMs }
+
 // New returns a service without targets. dataCentre is the entry's own, and
 // seed determines both its preferred targets and its random choices.
 func New(name loader.ServiceName, dataCentre loader.DataCentreName, seed uint64) *Service {
