Show that entries miss changes after a restore, by tests that fail

Cause: entries hold an offset of the history before the restore and read on from it.

Change: the stand-in for the store has eras, can be restored from a copy, and answers 410 for an offset beyond its end.

--- a/gateway/overdue_test.go
+++ b/gateway/overdue_test.go
@@ -157,6 +157,66 @@
 	}
 }
 
+// A configuration that is written after the store has come back from an older copy must
+// be in force in time, at whichever offset it stands.
+func TestConfigurationIsOverdueAfterARestore(t *testing.T) {
+	const configApply = 2 * time.Second
+	for lost := range 4 {
+		for rewritten := range lost + 2 {
+			t.Run(fmt.Sprintf("%d lost, %d written again", lost, rewritten), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					var tasks sync.WaitGroup
+					// The handlers of the store end once the connections are closed.
+					defer time.Sleep(time.Minute)
+					defer tasks.Wait()
+					defer cancel()
+					store := standin.NewStore()
+					link := &slowLink{bytesPerSecond: 1 << 30, conns: make(chan net.Conn), closed: make(chan struct{}), busy: make(chan struct{}, 1)}
+					srv := &http.Server{Handler: store, ErrorLog: runner.DiscardLogger()}
+					tasks.Go(func() { _ = srv.Serve(link) })
+					defer srv.Close()
+					client := platform.NewStore(netip.MustParseAddrPort("127.0.0.1:1"), platform.WithDial(link.dial))
+					defer client.CloseIdle()
+
+					g := New(platform.Settings{}, WithStore(client))
+					var err error
+					if g.gossiper, err = gossiper.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+						t.Fatal(err)
+					}
+					tasks.Go(func() { g.controlLoop(ctx) })
+
+					version := 0
+					put := func() {
+						store.PutJSON(platform.OperatorTopic, "config", map[string]any{"version": version})
+					}
+					next := func() {
+						version++
+						put()
+					}
+					next()
+					copied := store.Copy()
+					for range lost {
+						next()
+					}
+					time.Sleep(5 * time.Second)
+					for range 2 {
+						store.Restore(copied)
+						for range rewritten {
+							put()
+						}
+						next()
+						time.Sleep(configApply)
+						if got := int(g.snapshot.Load().version()); got != version {
+							t.Fatalf("version %d is in force, want %d", got, version)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // version returns the version of the snapshot's configuration, or 0.
 func (s *snapshot) version() router.Version {
 	if s.router == nil {
--- a/tracker/view_test.go
+++ b/tracker/view_test.go
@@ -44,6 +44,10 @@
 	// reaches each entry over a relay that random selects, if it is not nil.
 	frozenUntil map[int]time.Time
 	random      *rand.Rand
+	// era counts how often the store has been restored from a copy.
+	era uint64
+	// cutOff reports whether an entry is cut off from the others, if it is not nil.
+	cutOff func(entry int) bool
 }
 
 // event is the arrival of a message at an entry.
@@ -78,6 +82,9 @@
 	due := f.pending
 	f.pending = nil
 	for _, e := range due {
+		if f.isCutOff(e.entry) && !isReadResult(e.msg) {
+			continue
+		}
 		if until := f.frozenUntil[e.entry]; e.at.Before(until) {
 			e.at = until
 		}
@@ -95,6 +102,18 @@
 	}
 }
 
+// isCutOff reports whether an entry is cut off from the others.
+func (f *simFleet) isCutOff(entry int) bool { return f.cutOff != nil && f.cutOff(entry) }
+
+// isReadResult reports whether a message comes from the store and not from a peer.
+func isReadResult(msg Msg) bool {
+	switch msg.(type) {
+	case ReadMsg, ReadFailedMsg:
+		return true
+	}
+	return false
+}
+
 // freeze lets entries freeze for a time. From now on gossip is relayed.
 func (f *simFleet) freeze(entries []int, d time.Duration, random *rand.Rand) {
 	f.random, f.frozenUntil = random, map[int]time.Time{}
@@ -115,6 +134,9 @@
 // network.
 func (f *simFleet) execute(entry int, cmds []Cmd) {
 	for _, cmd := range cmds {
+		if _, isRead := cmd.(ReadCmd); !isRead && f.isCutOff(entry) {
+			continue
+		}
 		switch cmd := cmd.(type) {
 		case ReadCmd:
 			f.reads++
@@ -151,6 +173,9 @@
 	}
 	msg.Next, msg.End = Offset(len(records)), Offset(len(records))
 	if !cmd.Full {
+		if int(cmd.From) > len(records) {
+			return ReadFailedMsg{Topic: cmd.Topic, Trimmed: true}
+		}
 		if f.pageRecords > 0 {
 			records = records[:min(len(records), int(cmd.From)+f.pageRecords)]
 			msg.Next = Offset(len(records))
