Gossip the records that change nothing at their reader

Callers saw: an entry that started from an older copy of the store kept an older state.

Cause: an entry that reads a record gossiped it only if it changed its own model. After a restore, operators and targets write again what most entries know already; for one that has started from the copy it is new, and the gossip claimed to be complete without it.

Change: all records with content are gossiped.

--- a/tracker/view.go
+++ b/tracker/view.go
@@ -241,11 +241,11 @@
 		if r.Msg == nil || r.Offset < from {
 			continue
 		}
-		before, prev := m.placementChanges, m.Config
+		// A record that changes nothing here may change something at a peer that has
+		// started from an older copy of the store.
+		prev := m.Config
 		cmds = append(cmds, m.update(r.Msg, now)...)
-		if m.placementChanges > before {
-			m.recentChanges[msg.Topic] = append(m.recentChanges[msg.Topic], newChange(r, prev))
-		}
+		m.recentChanges[msg.Topic] = append(m.recentChanges[msg.Topic], newChange(r, prev))
 	}
 	return cmds
 }
