Compare positions in the store by era and offset

Callers saw: after the store had come back from a copy some seconds old, entries handled requests by a configuration that had been replaced, and answered 404 for a route that had been added.

Cause: an entry keeps the offset up to which it has read. After a restore, offsets are given out again: what is written below the kept one is skipped without an error once the partition has grown to it, and gossip from entries that have read anew looks old.

It works because two positions are now compared only if they belong to the same history.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -46,7 +46,7 @@
 	}
 	g.log.WithLevel(level).Str("Topic", topic).Uint64("From", uint64(cmd.From)).Bool("Full", cmd.Full).Uint64("Next", uint64(page.Next)).
 		Uint64("End", uint64(page.End)).Uint64("Era", uint64(page.Era)).Dur("Took", time.Since(startedAt)).Msg(text)
-	msg := tracker.ReadMsg{Topic: cmd.Topic, Full: cmd.Full, Next: tracker.Offset(page.Next), End: tracker.Offset(page.End), Asked: startedAt}
+	msg := tracker.ReadMsg{Topic: cmd.Topic, Full: cmd.Full, Era: tracker.Era(page.Era), Next: tracker.Offset(page.Next), End: tracker.Offset(page.End), Asked: startedAt}
 	switch {
 	case !cmd.Full:
 		msg.Records = g.decodeRecords(cmd.Topic, page.Records)
--- a/gateway/operator.go
+++ b/gateway/operator.go
@@ -39,6 +39,8 @@
 
 // TopicView is an entry's position in a topic of the store.
 type TopicView struct {
+	// Era is the era of the store to which Next belongs.
+	Era tracker.Era
 	// Next is the offset of the first record that the entry has not applied.
 	Next tracker.Offset
 	// Age is the time since the store last confirmed that Next is current.
@@ -57,7 +59,7 @@
 	}
 	for topic, name := range storeTopics {
 		v := g.model.Views[topic]
-		d.Views[name] = TopicView{Next: v.Next, Age: now.Sub(v.At).String(), Mine: v.Mine}
+		d.Views[name] = TopicView{Era: v.Era, Next: v.Next, Age: now.Sub(v.At).String(), Mine: v.Mine}
 	}
 	for name, s := range g.snapshot.Load().services {
 		d.Services[name] = s.placer.Dump(now)
--- a/tracker/news.go
+++ b/tracker/news.go
@@ -14,6 +14,8 @@
 // snapshot of the topic, or the announcement of a retry.
 type News struct {
 	Topic Topic `cbor:"0,keyasint"`
+	// Era is the era of the store to which From and Next belong.
+	Era Era `cbor:"7,keyasint,omitempty"`
 	// From and Next delimit the offsets that the changes cover: From is included,
 	// Next is not. A snapshot has no From.
 	From Offset `cbor:"1,keyasint"`
@@ -115,7 +117,8 @@
 // Ask requests a snapshot of a topic.
 type Ask struct {
 	Topic Topic `cbor:"0,keyasint"`
-	// Next is the end of the requesting entry's view.
+	// Era is the era of the requesting entry's view, and Next its end.
+	Era  Era    `cbor:"2,keyasint,omitempty"`
 	Next Offset `cbor:"1,keyasint"`
 }
 
@@ -160,7 +163,7 @@
 // topic to all peers.
 func (m *Model) broadcast(t Topic, now time.Time) []Cmd {
 	v := &m.Views[t]
-	n := News{Topic: t, From: v.windowOffsets[0], Next: v.Next, Age: v.age(now)}
+	n := News{Topic: t, Era: v.Era, From: v.windowOffsets[0], Next: v.Next, Age: v.age(now)}
 	items := 0
 	for _, c := range m.recentChanges[t] {
 		if c.Patch != nil {
@@ -189,20 +192,18 @@
 			v.PausedUntil = now.Add(failureBackoff + m.jitter(limit))
 		}
 		return nil
-	case n.Snapshot && (!v.Known || n.Next > v.Next):
+	case n.Era < v.Era:
+		return nil // from before the store was restored
+	case n.Era > v.Era && !n.Snapshot:
+		v.LatestEra = max(v.LatestEra, n.Era)
+		return m.readForPeer(n.Topic, now)
+	case n.Snapshot && (!v.Known || n.Era > v.Era || n.Next > v.Next):
 		return m.applySnapshot(n, now)
-	case !v.Known || n.Next < v.Next || n.Snapshot:
+	case v.needsFullRead() || n.Next < v.Next || n.Snapshot:
 		return nil
 	}
 	if n.From > v.Next || !m.patchesChain(n.Changes, v.Next) {
-		// The message shows that some entry can read the store, so this entry
-		// doesn't wait for its own turn to retry. The store may still refuse this
-		// entry, so failureBackoff applies.
-		if v.Reading || now.Before(v.FailedAt.Add(failureBackoff)) {
-			return nil
-		}
-		v.Mine = false
-		return []Cmd{m.startRead(n.Topic)}
+		return m.readForPeer(n.Topic, now)
 	}
 	var cmds []Cmd
 	prevNext := v.Next
@@ -221,6 +222,18 @@
 	return cmds
 }
 
+// readForPeer starts a read after a message of a peer that shows that some entry can read
+// the store. The entry doesn't wait for its own turn to retry, but the store may still
+// refuse it, so failureBackoff applies.
+func (m *Model) readForPeer(t Topic, now time.Time) []Cmd {
+	v := &m.Views[t]
+	if v.Reading || now.Before(v.FailedAt.Add(failureBackoff)) {
+		return nil
+	}
+	v.Mine = false
+	return []Cmd{m.startRead(t, now)}
+}
+
 // patchesChain reports whether the patches among the changes from an offset on
 // form a chain that begins at the configuration in force, in which the base of each
 // patch is the version before it. Patches to versions that are already in force
@@ -242,11 +255,14 @@
 // applySnapshot replaces the state of a topic by a peer's snapshot.
 func (m *Model) applySnapshot(n News, now time.Time) []Cmd {
 	v := &m.Views[n.Topic]
+	var cmds []Cmd
+	if n.Era > v.Era {
+		cmds = m.enterEra(n.Topic, n.Era, now)
+	}
 	m.advanceView(n.Topic, n.Next, now.Add(-n.Age), false, now)
 	v.windowOffsets, m.recentChanges[n.Topic] = nil, nil
 	m.slideWindow(n.Topic)
 	var list ListMsg
-	var cmds []Cmd
 	out := map[loader.DataCentreName]bool{}
 	for _, c := range n.Changes {
 		switch msg := c.msg().(type) {
@@ -261,17 +277,21 @@
 	if n.Topic == Targets {
 		return append(cmds, m.reconcileTargets(list.Registrations, now)...)
 	}
-	return append(cmds, m.setAllEvacuated(out)...)
+	return append(cmds, m.setAllEvacuated(out, now)...)
 }
 
 // replyWithSnapshot sends a snapshot of a topic to the peer that requested it,
 // unless this entry's own view is missing or behind the peer's.
 func (m *Model) replyWithSnapshot(msg AskMsg, now time.Time) []Cmd {
 	t := msg.Ask.Topic
-	if t < 0 || t >= topics || !m.Views[t].Known || m.Views[t].Next < msg.Ask.Next {
+	if t < 0 || t >= topics || m.Views[t].needsFullRead() {
+		return nil
+	}
+	v := &m.Views[t]
+	if v.Era < msg.Ask.Era || v.Era == msg.Ask.Era && v.Next < msg.Ask.Next {
 		return nil
 	}
-	n := News{Topic: t, Next: m.Views[t].Next, Age: m.Views[t].age(now), Snapshot: true}
+	n := News{Topic: t, Era: v.Era, Next: v.Next, Age: v.age(now), Snapshot: true}
 	if t == Orders {
 		n.Changes = append(n.Changes, Change{Config: &m.Config})
 		for dc := range m.Out {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -28,6 +28,9 @@
 	// tombstoneTTL is how long an unregistered target is kept, so that an old
 	// registration that arrives late doesn't restore it.
 	tombstoneTTL = 60 * time.Second
+	// rewriteTime is how long, after the store was restored from an older copy,
+	// operators and targets may take to write again what it has lost.
+	rewriteTime = reregistrationGrace
 )
 
 // Model is an entry's view of the fleet. It is not safe for concurrent use.
@@ -49,6 +52,10 @@
 	// ReturnedAt is when the last outage of the store ended, as seen by this entry;
 	// zero if there was none.
 	ReturnedAt time.Time
+	// RestoredAt is when this entry learned that the store was restored from an older
+	// copy; zero if it never was. RecheckOutAt is when data centres out of service of
+	// which that copy had no record are to be looked up again; zero if there are none.
+	RestoredAt, RecheckOutAt time.Time
 	// Away is set while this entry detects an outage of the store.
 	Away bool
 	// Peers is the number of other entries that this entry knows.
@@ -155,6 +162,12 @@
 // ShareCmd replaces the entry's share of the fleet's limits.
 type ShareCmd struct{ Share limiter.Share }
 
+// RestoredCmd reports that the store was restored from an older copy.
+type RestoredCmd struct {
+	Topic Topic
+	Era   Era
+}
+
 // LogCmd writes a log line.
 type LogCmd struct {
 	Level  zerolog.Level
@@ -162,10 +175,11 @@
 	Fields map[string]any
 }
 
-func (InstallCmd) cmd() {}
-func (PlaceCmd) cmd()   {}
-func (ShareCmd) cmd()   {}
-func (LogCmd) cmd()     {}
+func (InstallCmd) cmd()  {}
+func (PlaceCmd) cmd()    {}
+func (ShareCmd) cmd()    {}
+func (RestoredCmd) cmd() {}
+func (LogCmd) cmd()      {}
 
 // Update applies a message to the model and returns the commands to execute. It
 // returns at most one PlaceCmd, as the last command: building one takes time in
@@ -193,7 +207,7 @@
 	case EvacuateMsg:
 		return m.setEvacuated(msg.DataCentre, msg.Out)
 	case EvacuatedMsg:
-		return m.setAllEvacuated(msg.DataCentres)
+		return m.setAllEvacuated(msg.DataCentres, now)
 	case RegisterMsg:
 		if cmd := m.register(msg.Registration, now); cmd != nil {
 			return []Cmd{cmd}
@@ -255,7 +269,17 @@
 	return []Cmd{infoCmd("data centre changed", map[string]any{"DataCentre": dc, "Out": out})}
 }
 
-func (m *Model) setAllEvacuated(out map[loader.DataCentreName]bool) []Cmd {
+// setAllEvacuated replaces the data centres that are out of service. Soon after the store
+// was restored, those that were out before stay so: their records may be missing.
+func (m *Model) setAllEvacuated(out map[loader.DataCentreName]bool, now time.Time) []Cmd {
+	if settled := m.RestoredAt.Add(rewriteTime); !m.RestoredAt.IsZero() && now.Before(settled) {
+		out = maps.Clone(out)
+		for dc := range m.Out {
+			if !out[dc] {
+				out[dc], m.RecheckOutAt = true, settled
+			}
+		}
+	}
 	if maps.Equal(m.Out, out) {
 		return nil
 	}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -1,6 +1,10 @@
 package tracker
 
-import "time"
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
 
 // Every read takes capacity of the store that other clients then lack, and the
 // entries of a large fleet all need the same records. The entries therefore take
@@ -63,11 +67,19 @@
 // Offset is the position of a record in its topic.
 type Offset uint64
 
+// Era counts how often the store has come back from an older copy of its data. Offsets
+// of different eras belong to different histories and can't be compared.
+type Era uint64
+
 // View is the replication state of a topic at this entry.
 type View struct {
 	// Known is set once the whole topic has been received. It is cleared when the
 	// store has trimmed records that this entry has not received.
 	Known bool
+	// Era is the era of the store to which Next belongs, and LatestEra the latest one
+	// that this entry has heard of. Until a full read or a snapshot brings the view to
+	// that era, gossip doesn't advance it.
+	Era, LatestEra Era
 	// Next is the offset of the first record that has not been received.
 	Next Offset
 	// At is the time up to which the view is complete.
@@ -95,6 +107,8 @@
 	Topic Topic
 	// Full is set when the whole topic was read.
 	Full bool
+	// Era is the era of the store at the time of the read.
+	Era Era
 	// Next is the offset of the first record after those that were read, and End
 	// the offset after the last record of the topic. End is larger if the read
 	// returned only a part of the records.
@@ -139,6 +153,12 @@
 // age returns the time since the view was last known to be complete.
 func (v *View) age(now time.Time) time.Duration { return now.Sub(v.At) }
 
+// outdated reports whether the view belongs to a former era of the store.
+func (v *View) outdated() bool { return v.Era < v.LatestEra }
+
+// hasContent reports whether the topic has been received in any era.
+func (v *View) hasContent() bool { return !v.At.IsZero() }
+
 // failing reports whether this entry's latest read failed, and no entry is known
 // to have read successfully since.
 func (v *View) failing() bool { return !v.FailedAt.IsZero() }
@@ -149,22 +169,52 @@
 	var cmds []Cmd
 	for t := range topics {
 		v := &m.Views[t]
-		if !v.Reading && now.After(v.PausedUntil) && (!v.Known || v.age(now) >= v.Turn) {
-			cmds = append(cmds, m.startRead(t))
+		if !v.Reading && now.After(v.PausedUntil) && (v.needsFullRead() || v.age(now) >= v.Turn || m.mustRecheck(t, now)) {
+			cmds = append(cmds, m.startRead(t, now))
 			if v.failing() {
-				cmds = append(cmds, SpreadCmd{News{Topic: t, Retrying: true}})
+				cmds = append(cmds, SpreadCmd{News{Topic: t, Era: v.Era, Retrying: true}})
 			}
 		}
 	}
 	return cmds
 }
 
+// needsFullRead reports whether the view can't be continued from where it ends.
+func (v *View) needsFullRead() bool { return !v.Known || v.outdated() }
+
+// mustRecheck reports whether a topic must be read completely, because data centres are
+// out of service of which the store, when it was restored, had no record.
+func (m *Model) mustRecheck(t Topic, now time.Time) bool {
+	return t == Orders && !m.RecheckOutAt.IsZero() && !now.Before(m.RecheckOutAt)
+}
+
 // startRead starts a read of a topic from where its view ends, or a full read if
-// there is no view yet.
-func (m *Model) startRead(t Topic) Cmd {
+// that isn't possible.
+func (m *Model) startRead(t Topic, now time.Time) Cmd {
 	v := &m.Views[t]
 	v.Reading = true
-	return ReadCmd{Topic: t, Full: !v.Known, From: v.Next}
+	return ReadCmd{Topic: t, Full: v.needsFullRead() || m.mustRecheck(t, now), From: v.Next}
+}
+
+// enterEra moves the view of a topic on to a later era of the store. What the store has
+// lost is written again soon, so that its content is not taken for complete until
+// rewriteTime has passed: targets and data centres out of service are kept for as long.
+func (m *Model) enterEra(t Topic, era Era, now time.Time) []Cmd {
+	v := &m.Views[t]
+	former, hadContent := v.Era, v.hasContent()
+	v.Era, v.LatestEra = era, max(era, v.LatestEra)
+	v.windowOffsets, m.recentChanges[t] = nil, nil
+	if !hadContent {
+		return nil
+	}
+	if t == Targets {
+		m.ReturnedAt = now
+	} else {
+		m.RestoredAt = now
+	}
+	return []Cmd{RestoredCmd{Topic: t, Era: era}, LogCmd{Level: zerolog.WarnLevel, Text: "store was restored from a copy", Fields: map[string]any{
+		"Topic": int(t), "Era": era, "Former": former, "Next": v.Next,
+	}}}
 }
 
 // advanceView moves the view of a topic on to next, up to which it is complete as
@@ -196,22 +246,39 @@
 func (m *Model) applyRead(msg ReadMsg, now time.Time) []Cmd {
 	v := &m.Views[msg.Topic]
 	v.Reading = false
-	if v.Known && msg.Next < v.Next {
+	// In a new era the entry whose turn it was tells the others.
+	restored := msg.Era > v.Era && v.hasContent()
+	switch {
+	case msg.Era < v.Era:
+		// The store was restored since, and a peer has told what it holds now.
+		return nil
+	case restored && !msg.Full:
+		v.LatestEra = max(v.LatestEra, msg.Era)
+		return []Cmd{m.startRead(msg.Topic, now)}
+	case msg.Era == v.Era && v.Known && msg.Next < v.Next:
 		// Gossip that arrived during the read has advanced the view further.
 		return nil
 	}
-	from := v.Next
 	// A full read skips ahead if it replaces the reading of many records.
-	skips := msg.Full && v.Known && msg.Topic == Orders
+	skips := msg.Full && v.Known && msg.Topic == Orders && !restored
 	// After the first read, and after a read that filled a gap in the peers'
 	// gossip, the next turn remains with another entry.
-	mine := (!msg.Full || skips) && (v.Mine || v.age(now) >= v.Turn)
+	mine := (!msg.Full || skips || restored) && (v.Mine || v.age(now) >= v.Turn)
+	var cmds []Cmd
+	if msg.Era > v.Era {
+		cmds = m.enterEra(msg.Topic, msg.Era, now)
+		v.Next = 0
+	}
+	from := v.Next
 	complete, at := msg.Next >= msg.End, msg.Asked
 	if !complete {
 		at = v.At
 	}
 	m.advanceView(msg.Topic, msg.Next, at, mine, now)
-	cmds := m.applyContent(msg, from, skips, now)
+	cmds = append(cmds, m.applyContent(msg, from, skips, now)...)
+	if msg.Topic == Orders && msg.Full && m.mustRecheck(Orders, msg.Asked) {
+		m.RecheckOutAt = time.Time{}
+	}
 	if msg.Full && !skips {
 		v.windowOffsets, m.recentChanges[msg.Topic] = nil, nil
 	}
@@ -265,8 +332,8 @@
 	v.Reading = false
 	if msg.Trimmed {
 		v.Known = false
-		return []Cmd{m.startRead(msg.Topic)}
+		return []Cmd{m.startRead(msg.Topic, now)}
 	}
 	v.PausedUntil, v.FailedAt = now.Add(failureBackoff+m.jitter(failureJitter)), now
-	return []Cmd{AskCmd{Ask{Topic: msg.Topic, Next: v.Next}}}
+	return []Cmd{AskCmd{Ask{Topic: msg.Topic, Era: v.Era, Next: v.Next}}}
 }
