Join the group anew after the store was restored

Callers saw nothing yet: found by looking for what else compares versions.

Cause: an entry names the latest generation of the group that it knows. Generations are given out again after a restore, and the store takes a later one for the confirmation of a division that the entry has never seen: it may deal out partitions that the entry still uses, and with them rates of cold targets and retries.

Change: an entry joins without a generation, and at once, when a response names a later era.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -204,6 +204,12 @@
 		g.gossiper.TellAny(gossiper.Message{Ask: &cmd.Ask})
 	case tracker.TellCmd:
 		g.gossiper.Tell(cmd.Peer, gossiper.Message{News: &cmd.News})
+	case tracker.RestoredCmd:
+		g.storeRestores.Inc(1)
+		select {
+		case g.rejoin <- struct{}{}:
+		default: // a renewal of the share is due anyway
+		}
 	case tracker.LogCmd:
 		g.log.WithLevel(cmd.Level).Fields(cmd.Fields).Msg(cmd.Text)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,8 @@
 	store      *platform.Store
 	log        zerolog.Logger
 	recorder   *recorder.Recorder
+	// storeRestores counts the topics that were read again after a restore.
+	storeRestores metrics.Counter
 	// storeReads counts the reads of the store, storeReadFailures those of them that
 	// failed, and storeReadsPartial those that left records behind.
 	storeReads, storeReadFailures, storeReadsPartial metrics.Counter
@@ -82,6 +84,8 @@
 
 	snapshot atomic.Pointer[snapshot]
 	messages chan tracker.Msg
+	// rejoin receives a value when the share is to be renewed at once.
+	rejoin chan struct{}
 	// drained is closed once the last request has ended.
 	drained chan struct{}
 	// model and share are owned by the control loop.
@@ -140,6 +144,7 @@
 		tuning:     loader.Tuning{LogServedOneIn: 1},
 		recorder:   recorder.New(),
 		messages:   make(chan tracker.Msg, controlQueueSize),
+		rejoin:     make(chan struct{}, 1),
 		drained:    make(chan struct{}),
 		readyCh:    make(chan struct{}),
 		model:      tracker.New(rand.Float64),
@@ -148,6 +153,7 @@
 	if p.MemoryBytes > 0 {
 		g.buffers = transporter.NewBuffers(p.MemoryBytes / bufferMemoryDivisor)
 	}
+	g.storeRestores = g.recorder.Counter("store_restores_total")
 	g.storeReads = g.recorder.Counter("store_reads_total")
 	g.storeReadFailures = g.recorder.Counter("store_read_failures_total")
 	g.storeReadsPartial = g.recorder.Counter("store_reads_partial_total")
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -41,6 +41,21 @@
 	return names, indexes
 }
 
+// sleepUnlessRestored pauses for d, until the store is known to have been restored, or
+// until the context ends.
+func (g *Gateway) sleepUnlessRestored(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-g.rejoin:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	sleep(ctx, d)
+}
+
 // renewShare acquires and renews the entry's share of the fleet until the
 // context ends.
 func (g *Gateway) renewShare(ctx context.Context) {
@@ -48,6 +63,11 @@
 	var last platform.Membership
 	for ctx.Err() == nil {
 		requestedAt, suspended := time.Now(), suspendedTime()
+		// Generations of a former era of the store may be given out again: the store would
+		// take one for the confirmation of a division that the entry doesn't know.
+		if g.store.Era() > last.Era {
+			last = platform.Membership{}
+		}
 		membership, err := g.store.Join(ctx, shareGroup, string(g.platform.Name), topics, shareTTL, last.Generation)
 		if ctx.Err() != nil {
 			return
@@ -69,6 +89,6 @@
 			interval = shareSettleInterval
 		}
 		last = membership
-		sleep(ctx, jitter(interval))
+		g.sleepUnlessRestored(ctx, jitter(interval))
 	}
 }
