--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -59,7 +59,8 @@
 }
 
 // decodeRecords decodes the records of an incremental read. In the targets'
-// topic, a deleted or invalid record yields an UnregisterMsg.
+// topic, a deleted or invalid record yields an UnregisterMsg, unless its key can't be the
+// name of a target.
 func (g *Gateway) decodeRecords(topic tracker.Topic, records []platform.Record) []tracker.ReadRecord {
 	decoded := make([]tracker.ReadRecord, 0, len(records))
 	for _, r := range records {
@@ -68,7 +69,7 @@
 			record.Msg = g.decodeOrder(r)
 		} else if registration, ok := g.decodeRegistration(r); ok {
 			record.Msg = tracker.RegisterMsg{Registration: registration}
-		} else {
+		} else if platform.IsName(r.Key) {
 			record.Msg = tracker.UnregisterMsg{Name: loader.TargetName(r.Key)}
 		}
 		decoded = append(decoded, record)
