Count a target as ended only if it breaks off or refuses connections

Callers saw nothing: found by reading the change that blocks requests that crash targets.

Cause: any failed health check but a timeout counted as the end of the target, also an answer of a target that is alive but sends bytes that are no answer. Three such targets would have blocked a harmless request.

Change: the connection must be refused, reset or closed, for the request and for the health check that follows, or another target must have the address.

--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
-	"os"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"savoryroad.dev/gossiper"
 	"savoryroad.dev/isolator"
@@ -75,18 +76,19 @@
 // brokeOff reports whether the connection ended before the answer had arrived, by itself
 // and not because the time for the attempt was over.
 func (r attemptResult) brokeOff() bool {
-	return errors.Is(r.err, transporter.ErrNoResponse) && !isTimeout(r.err)
+	return errors.Is(r.err, transporter.ErrNoResponse) && isBrokenConnection(r.err)
 }
 
-// isTimeout reports whether an error means that there was no response in time.
-func isTimeout(err error) bool {
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+// isBrokenConnection reports whether an error means that the other end refuses
+// connections, or has closed one.
+func isBrokenConnection(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, unix.ECONNREFUSED, unix.ECONNRESET, unix.EPIPE)
 }
 
 // hasEnded reports whether a target whose connection broke off has ended: it takes no
 // connection any more, breaks off each one, or another target has its address. A target
-// that doesn't respond in time may be cut off, and one that responds resets some
-// requests only. The check counts towards the limit on health checks, but is made also
+// that doesn't respond in time may be cut off, and one that responds, in whichever way,
+// breaks off some requests only. The check counts towards the limit on health checks, but is made also
 // if that is used up: there is at most one for an attempt.
 func (g *Gateway) hasEnded(s *service, t *placer.Target) bool {
 	s.probeLimiter.Take(1, time.Now())
@@ -95,7 +97,7 @@
 		conn.Release()
 		return false
 	}
-	return !isTimeout(err) && !errors.Is(err, transporter.ErrBusy) && !errors.Is(err, errSpoiled)
+	return isBrokenConnection(err) || errors.Is(err, errOtherTarget)
 }
 
 // spreadCrashes sends the messages about requests that crash targets that are due.
