Take only a refusal that names the request for its answer

Other operators saw: a faulty target wrote an earlier refusal once more on a kept connection. Clients were told "not run" for requests that ran, or these ran at a second target.

Here: it could happen, in three of four ways. A refusal without the ID of its request was taken for the answer to the next one. One that came in the place of the answer to a health check was taken for that, and the answer to the health check, a refusal too, for that to the request that followed on the connection.

Change: a refusal proves that a request did not run only if it names the request; status 421 still does, as it comes from a server that runs nothing for the target. An answer that names a request, and a refusal on a connection that was used before, don't answer a health check: the connection is closed.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -371,6 +371,8 @@
 }
 
 // classify derives the result of an attempt from the target's answer or error.
+// A refusal that doesn't name the request proves nothing: the target may have sent an
+// earlier one again. Status 421 comes from a server that runs no request for the target.
 // Answers without a seal, or with a content encoding, don't come unchanged from
 // the target and are discarded.
 func classify(t *placer.Target, a *transporter.Answer, err error) attemptResult {
@@ -379,6 +381,9 @@
 	case errors.Is(err, transporter.ErrNotSent):
 		r.notRun, r.sent = true, false
 	case err != nil:
+	case platform.NotRun(a.Status, a.Header) && !a.Identified && a.Status != http.StatusMisdirectedRequest:
+		r.answer, r.err = nil, errors.Newf("refusal with status %d doesn't name the request", a.Status)
+		a.Finish(false)
 	case platform.NotRun(a.Status, a.Header):
 		r.notRun = true
 	case !platform.Sealed(a.Header) || a.Header.Get("Content-Encoding") != "":
--- a/gateway/look.go
+++ b/gateway/look.go
@@ -122,10 +122,19 @@
 	return nil, err
 }
 
+// answersHealthCheck reports whether an answer is known to be one to a health check. One to
+// a request, and a refusal on a reused connection, may be an earlier answer that the target
+// has sent again; the answer to the health check would then be taken for that to the next
+// request.
+func answersHealthCheck(a *transporter.Answer, reused bool) bool {
+	id, _ := platform.RequestID(a.Header)
+	return a.Rest == nil && id == "" && !platform.Sealed(a.Header) && !(reused && platform.NotRun(a.Status, a.Header))
+}
+
 // probeConn sends a health check on a connection and reports the target's state
 // and load to the placer. It closes the connection if it returns an error.
 func (g *Gateway) probeConn(ctx context.Context, s *service, t *placer.Target, conn *transporter.Conn) error {
-	askedAt := time.Now()
+	askedAt, reused := time.Now(), conn.Reused()
 	a, err := conn.Exchange(ctx, transporter.Request{
 		Method: http.MethodGet,
 		URI:    s.config.HealthPath,
@@ -133,9 +142,12 @@
 
 		MaxBuffered: maxHealthBody,
 	})
-	if err != nil || a.Rest != nil || platform.Sealed(a.Header) {
+	if err == nil && !answersHealthCheck(a, reused) {
+		err = errNotHealthCheck
+	}
+	if err != nil {
 		conn.Close()
-		return errors.CombineErrors(err, errNotHealthCheck)
+		return err
 	}
 	now := time.Now()
 	if id := platform.Instance(a.Header); id != "" && id != string(t.Name) {
--- a/transporter/exchange.go
+++ b/transporter/exchange.go
@@ -58,6 +58,9 @@
 	// Length is the length of the whole body in bytes as the target declared
 	// it, or -1 if unknown.
 	Length int64
+	// Identified is set if the response carries the ID of the request. Any other may be
+	// an earlier one that the target has sent again.
+	Identified bool
 
 	conn *Conn
 	// reserved is the part of Body, in bytes, that was taken from the pool's
@@ -198,6 +201,7 @@
 			return nil, err
 		}
 		if id := a.Header.Get(r.IDHeader); r.ID == "" || id == "" || id == r.ID {
+			a.Identified = r.ID != "" && id == r.ID
 			return a, nil
 		}
 		c.mustClose = true
--- a/transporter/transporter_test.go
+++ b/transporter/transporter_test.go
@@ -430,3 +430,18 @@
 		})
 	}
 }
+
+// Only a response with the ID of the request is known to answer it. One without an ID may
+// be an earlier one that the target has sent again.
+func TestResponseWithoutIDAnswersTheRequest(t *testing.T) {
+	for id, want := range map[string]bool{"Id: a\r\n": true, "": false} {
+		p := startTarget(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\n"+id+"Content-Length: 0\r\n\r\n")
+		})
+		a, err := send(t, p, newRequest("a"))
+		if err != nil || a.Identified != want {
+			t.Errorf("header %q: response %+v, error %v, want identified %v", id, a, err, want)
+		}
+	}
+}
