Check that a response with a truncated head is no response

Other operators saw: a target stopped in the middle of the head of its answer and closed, and clients got a 200 with an empty or short body, framed as whole.

Here: it can't happen. The parser of the standard library fails on a head that ends at any byte before its empty line is complete.

Change: a test that cuts heads with a length, in chunks and with neither at each byte.

--- a/transporter/transporter_test.go
+++ b/transporter/transporter_test.go
@@ -431,6 +431,23 @@
 	}
 }
 
+// A target that stops in the middle of the head of its response and closes the connection
+// has not responded, wherever it stops.
+func TestTruncatedHeadIsAResponse(t *testing.T) {
+	for _, framing := range []string{"", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"} {
+		head := "HTTP/1.1 200 OK\r\nId: a\r\n" + framing + "Seal: x\r\n\r\n"
+		for n := range len(head) {
+			p := startTarget(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(conn, head[:n])
+			})
+			if a, err := send(t, p, newRequest("a")); err == nil {
+				t.Errorf("head cut after %q: got status %d and a body of %d bytes", head[:n], a.Status, len(a.Body))
+			}
+		}
+	}
+}
+
 // Only a response with the ID of the request is known to answer it. One without an ID may
 // be an earlier one that the target has sent again.
 func TestResponseWithoutIDAnswersTheRequest(t *testing.T) {
