Send nothing more to a target that says that it leaves

Callers saw nothing yet: a new contract (Server-Leaving: 1 in all answers of a target that leaves).

Cause: entries didn't know the header, and stopped with the registration only, which may say so later or never.

Change: the first answer with the header, to a request or to a health check, ends what an entry sends to that target: attempts, retries, hedges and health checks. The entry tells its peers. The mark is kept like a named limit: until the target restarts, also if it moves or its registration lapses.

--- a/gateway/news.go
+++ b/gateway/news.go
@@ -22,8 +22,8 @@
 	discoveryFanout = 2
 )
 
-// handlePeerMessage applies what a peer tells of targets' limits and of requests that
-// crash targets, and forwards the rest of its message to the control loop.
+// handlePeerMessage applies what a peer tells of targets that leave, of their limits and of
+// requests that crash them, and forwards the rest of its message to the control loop.
 func (g *Gateway) handlePeerMessage(from netip.Addr, m gossiper.Message) {
 	if m.Ask != nil {
 		g.dispatch(tracker.AskMsg{Peer: from, Ask: *m.Ask})
@@ -31,6 +31,7 @@
 	if len(m.Limits) > 0 {
 		g.hearLimits(m.Limits, time.Now())
 	}
+	g.hearLeaving(m.Leaving)
 	if m.Crashes != nil {
 		g.hearCrashes(from, *m.Crashes, time.Now())
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -68,6 +68,8 @@
 	Ask *tracker.Ask `cbor:"7,keyasint,omitempty"`
 	// Limits are the limits that targets have named or no longer name.
 	Limits []placer.LimitNews `cbor:"8,keyasint,omitempty"`
+	// Leaving are targets that have said that they are about to leave.
+	Leaving []placer.Leaving `cbor:"10,keyasint,omitempty"`
 	// Crashes are cases of requests that crash the targets that run them.
 	Crashes *isolator.News `cbor:"9,keyasint,omitempty"`
 }
--- a/placer/dump.go
+++ b/placer/dump.go
@@ -24,6 +24,8 @@
 	Failing  float64
 	// Ill is set if the latest health check reported a failure.
 	Ill bool `json:",omitempty"`
+	// Leaving is set if the target has said that it is about to leave.
+	Leaving bool `json:",omitempty"`
 	// ColdFor is the rest of the warm-up; empty if the target is warm.
 	ColdFor string `json:",omitempty"`
 	// AvoidedFor is the rest of the backoff after the target could not be
@@ -40,7 +42,7 @@
 	var states []Dumped
 	for _, name := range slices.Sorted(maps.Keys(s.targets)) {
 		t := s.targets[name]
-		d := Dumped{Target: name, Far: t.far, Outstanding: t.outstanding, Load: t.load, Ill: t.unhealthy}
+		d := Dumped{Target: name, Far: t.far, Outstanding: t.outstanding, Load: t.load, Ill: t.unhealthy, Leaving: t.leaving}
 		d.Slowness, d.Failing = t.decayedOutcomes(now)
 		if !t.reportedAt.IsZero() {
 			d.LoadAge = now.Sub(t.reportedAt).String()
--- a/placer/limit.go
+++ b/placer/limit.go
@@ -37,8 +37,6 @@
 	maxTrialDelay = 30 * time.Second
 	trialSpread   = 4
 	trialRequests = 3
-	// awayLimitTTL is how long the limit of a target that is no longer listed is kept.
-	awayLimitTTL = 10 * time.Minute
 )
 
 // LimitReport is what an answer of a target says of its limit.
@@ -111,36 +109,9 @@
 	l.named, l.perSecond, l.confirmedAt, l.trial = named, perSecond, now, false
 }
 
-// awayLimit is the limit of a target that was listed until a time.
-type awayLimit struct {
-	limit     targetLimit
-	startedMs int64
-	until     time.Time
-}
-
-// keepLimit keeps the limit of a target that is no longer listed, and drops old ones.
-func (s *Service) keepLimit(t *Target, now time.Time) {
-	for name, a := range s.away {
-		if now.Sub(a.until) > awayLimitTTL {
-			delete(s.away, name)
-		}
-	}
-	if t.limit.named {
-		s.away[t.Name] = awayLimit{limit: t.limit, startedMs: t.startedMs, until: now}
-	}
-}
-
-// restoreLimit applies the limit that is known of a target that is listed again.
-func (s *Service) restoreLimit(t *Target, now time.Time) {
-	known := s.away[t.Name]
-	delete(s.away, t.Name)
-	if former := s.targets[t.Name]; former != nil {
-		known = awayLimit{limit: former.limit, startedMs: former.startedMs}
-	}
-	if !known.limit.named || known.startedMs != t.startedMs {
-		return
-	}
-	t.limit = known.limit
+// restoreLimit applies the limit that a target is known to name that is listed again.
+func (s *Service) restoreLimit(t *Target, limit targetLimit, now time.Time) {
+	t.limit = limit
 	// Counts as a confirmation, so that the entries don't all send a trial at once.
 	t.limit.confirmedAt = now
 	s.limited[t] = true
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -99,9 +99,11 @@
 	// limited holds all targets that are known to name a limit, and for endTime those
 	// that no longer do.
 	limited map[*Target]bool
-	// away holds the limits of targets that are no longer listed, until awayLimitTTL
+	// away holds what targets have said that are no longer listed, until awayTTL
 	// has passed.
-	away map[loader.TargetName]awayLimit
+	away map[loader.TargetName]awayTarget
+	// newlyLeaving holds the targets that peers are to be told of.
+	newlyLeaving []Leaving
 	// near and far hold the targets that may get requests, by locality.
 	near, far []*Target
 	coldLimit limiter.ColdLimit
@@ -141,6 +143,9 @@
 	// weighted averages as of recordedAt and decay towards 1 and 0.
 	slowness, failureRate float64
 	recordedAt            time.Time
+	// leaving is set once the target has said that it is about to leave. It stays so
+	// until the target restarts.
+	leaving bool
 	// unhealthy is set if the latest health check reported a failure.
 	unhealthy bool
 	// backoffUntil is when a target that could not be reached may be probed
@@ -162,7 +167,7 @@
 		rand:            rand.New(rand.NewPCG(seed, 0)),
 		targets:         map[loader.TargetName]*Target{},
 		limited:         map[*Target]bool{},
-		away:            map[loader.TargetName]awayLimit{},
+		away:            map[loader.TargetName]awayTarget{},
 		processingTimes: map[loader.RouteName]float64{},
 	}
 }
@@ -184,8 +189,8 @@
 
 // SetTargets replaces the targets that may get requests and returns those that
 // no longer may. A target that stays keeps its state, unless it has restarted
-// or moved to another address or data centre. Until it restarts, the limit that it names
-// is kept also if it moves or is away for some time.
+// or moved to another address or data centre. Until it restarts, what it has said of its
+// limit and of leaving is kept also if it moves or is away for some time.
 func (s *Service) SetTargets(usable []Usable, now time.Time) []*Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -195,7 +200,7 @@
 		t := s.targets[u.Name]
 		if t == nil || t.Address != u.Address || t.DataCentre != u.DataCentre || t.startedMs != u.Born {
 			t = &Target{Name: u.Name, Address: u.Address, DataCentre: u.DataCentre, far: u.DataCentre != s.dataCentre, startedMs: u.Born, affinity: s.affinityHash(u.Name), slowness: 1}
-			s.restoreLimit(t, now)
+			s.restore(t, now)
 		}
 		t.slots = u.Slots
 		if u.ColdUntil.After(t.coldUntil) {
@@ -216,7 +221,7 @@
 			removed = append(removed, t)
 		}
 		if current[name] == nil {
-			s.keepLimit(t, now)
+			s.keep(t, now)
 		}
 	}
 	s.targets = current
@@ -261,6 +266,9 @@
 		t.coldUntil = now.Add(r.Warmup)
 	}
 	s.noteLimit(t, r.Limit, true, now)
+	if r.Leaving {
+		s.noteLeaving(t)
+	}
 }
 
 // Report is the answer to a health check.
@@ -274,6 +282,8 @@
 	// Warmup is the rest of the warm-up.
 	Warmup time.Duration
 	Limit  LimitReport
+	// Leaving is set if the target says that it is about to leave.
+	Leaving bool
 }
 
 // Miss records that a target did not answer a health check or could not be
@@ -372,6 +382,8 @@
 	// was predicted at the send.
 	Took, Expected time.Duration
 	Limit          LimitReport
+	// Leaving is set if the target's answer says that it is about to leave.
+	Leaving bool
 }
 
 // Finish records the end of a request for which Start returned true.
@@ -381,6 +393,9 @@
 	t.outstanding--
 	t.sentSinceReport = max(0, t.sentSinceReport-1)
 	s.noteLimit(t, r.Limit, false, now)
+	if r.Leaving {
+		s.noteLeaving(t)
+	}
 	s.recordOutcome(t, r, now)
 }
 
