Leave a target alone for as long as its refusal says

Callers saw nothing yet: a new contract (Retry-After of a target's 503).

Cause: entries read Not-Executed of a refusal only, and sent on.

Change: a refusal with status 503 or 429 and a Retry-After, to a request or to a health check, keeps an entry's attempts, retries, hedges and health checks from that target for so long; others may send, as each entry is told for itself. The pause is kept like a named limit. If all targets of a service want none until a request is too late, it is refused at once and told when to come back; one that can wait looks again when the pause ends.

TestRequestIsHeldWhileTargetsWantNone passes.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -124,7 +124,7 @@
 }
 
 // Limits tells how many requests of this entry the limits that targets have named
-// allow. Its methods are called with the queue locked.
+// allow, and for how long they want none. Its methods are called with the queue locked.
 type Limits interface {
 	// Allowance returns the number of requests allowed within a time, and false if
 	// there is no limit.
@@ -132,6 +132,8 @@
 	// LimitDelay returns the time until a request is allowed, and false if none ever
 	// will be.
 	LimitDelay(now time.Time) (time.Duration, bool)
+	// PauseLeft returns the time until a target wants requests again; 0 if one does.
+	PauseLeft(now time.Time) time.Duration
 }
 
 // Option configures a Queue.
@@ -178,8 +180,9 @@
 		q.remove(t)
 		return refusal
 	}
-	// Until the limits of targets allow a request, a look finds nothing.
+	// Until the targets want a request and their limits allow it, a look finds nothing.
 	limited, _ := q.limits.LimitDelay(now)
+	limited = max(limited, q.limits.PauseLeft(now))
 	if t.request.onTime(now) {
 		return q.enqueue(t, max(limited, lookAfter(roomIn)))
 	}
--- a/admitter/limit_test.go
+++ b/admitter/limit_test.go
@@ -99,6 +99,8 @@
 	return l.perSecond * int(within/time.Second), true
 }
 
+func (l fixedLimits) PauseLeft(time.Time) time.Duration { return 0 }
+
 func (l fixedLimits) LimitDelay(time.Time) (time.Duration, bool) {
 	return time.Second, l.perSecond > 0
 }
@@ -148,6 +150,8 @@
 
 func (l *endingLimits) Allowance(time.Duration, time.Time) (int, bool) { return 1, !l.ended }
 
+func (l *endingLimits) PauseLeft(time.Time) time.Duration { return 0 }
+
 func (l *endingLimits) LimitDelay(time.Time) (time.Duration, bool) {
 	if l.ended {
 		return 0, true
@@ -166,3 +170,35 @@
 		t.Error("no turn")
 	}
 }
+
+// pausedLimits are targets that want no requests until a time.
+type pausedLimits struct {
+	noLimits
+	until time.Time
+}
+
+func (l pausedLimits) PauseLeft(now time.Time) time.Duration { return max(0, l.until.Sub(now)) }
+
+// While all targets want no requests, a request that can't wait so long is refused at
+// once, and told to come back when they do; one that can waits, and looks then.
+func TestRequestIsHeldWhileTargetsWantNone(t *testing.T) {
+	now := time.Unix(100, 0)
+	for pause, wantRefused := range map[time.Duration]bool{0: false, time.Second: false, 3 * time.Second: true, time.Hour: true} {
+		q := New(func() float64 { return 0 }, WithLimits(pausedLimits{until: now.Add(pause)}))
+		r := Request{Objective: now.Add(time.Second), Deadline: now.Add(4 * time.Second), Work: 100 * time.Millisecond}
+		ticket, verdict := q.Enter(r, now)
+		refusal, refused := verdict.(Refuse)
+		if refused != wantRefused {
+			t.Errorf("pause of %v: %+v", pause, verdict)
+			continue
+		}
+		if longest := r.Deadline.Sub(now) / 3; refused && refusal.RetryAfter < min(pause, longest) {
+			t.Errorf("pause of %v: retry after %v", pause, refusal.RetryAfter)
+		}
+		if !refused {
+			if w, ok := q.NoRoom(ticket, 0, now).(Wait); !ok || w.LookAfter < pause {
+				t.Errorf("pause of %v: %+v, want to look after it", pause, w)
+			}
+		}
+	}
+}
--- a/admitter/reason_string.go
+++ b/admitter/reason_string.go
@@ -13,11 +13,12 @@
 	_ = x[NoRoom-2]
 	_ = x[Full-3]
 	_ = x[Limited-4]
+	_ = x[Paused-5]
 }
 
-const _Reason_name = "deadline can't be metbacklog is too longno room in timetoo many requests waittargets limit their requests"
+const _Reason_name = "deadline can't be metbacklog is too longno room in timetoo many requests waittargets limit their requeststargets want no requests for now"
 
-var _Reason_index = [...]uint8{0, 21, 40, 55, 77, 105}
+var _Reason_index = [...]uint8{0, 21, 40, 55, 77, 105, 137}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/admitter/refuse.go
+++ b/admitter/refuse.go
@@ -23,6 +23,8 @@
 	Full // too many requests wait
 	// Limited means that the limits that targets have named don't allow it in time.
 	Limited // targets limit their requests
+	// Paused means that all targets want no requests until it is too late.
+	Paused // targets want no requests for now
 )
 
 const (
@@ -53,6 +55,9 @@
 	if now.After(latest) {
 		return q.refusal(t, TooLate, now), true
 	}
+	if q.limits.PauseLeft(now) > max(0, t.request.waitEnd().Sub(now)) {
+		return q.refusal(t, Paused, now), true
+	}
 	if !q.limitsAllow(t, now) {
 		return q.refusal(t, Limited, now), true
 	}
@@ -100,7 +105,7 @@
 	if n, limited := q.limits.Allowance(longest, now); limited && n > 0 {
 		interval = max(interval, longest/time.Duration(n))
 	}
-	backlog := max(minRetryAfter, time.Duration(len(q.waiting)+1)*interval)
+	backlog := max(minRetryAfter, q.limits.PauseLeft(now), time.Duration(len(q.waiting)+1)*interval)
 	delay := q.returns.next(now, backlog, interval, longest).Sub(now)
 	// The jitter keeps callers of other entries, who were told the same, apart.
 	delay += time.Duration(q.random() * float64(min(delay/4, maxRetryAfter/4)))
@@ -116,6 +121,9 @@
 // LimitDelay implements [Limits].
 func (noLimits) LimitDelay(time.Time) (time.Duration, bool) { return 0, true }
 
+// PauseLeft implements [Limits].
+func (noLimits) PauseLeft(time.Time) time.Duration { return 0 }
+
 // lookAfter bounds the time until the next look.
 func lookAfter(roomIn time.Duration) time.Duration {
 	return min(max(roomIn, minLookAfter), maxLookAfter)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -352,13 +352,18 @@
 func (c *call) sendAttempt(ctx context.Context, sel selection, request transporter.Request) attemptResult {
 	t, sentAt := sel.choice.Target, time.Now()
 	a, err := sel.conn.Send(ctx, request)
-	leaving := err == nil && a.Status != http.StatusMisdirectedRequest && platform.Leaving(a.Header)
+	var leaving bool
+	var pause time.Duration
+	if err == nil && a.Status != http.StatusMisdirectedRequest {
+		leaving, pause = platform.Leaving(a.Header), platform.Pause(a.Status, a.Header)
+	}
 	r := classify(t, a, err)
 	now := time.Now()
 	defer c.service.admitter.Wake(now)
 	c.service.placer.Finish(t, placer.Result{
 		Limit:    r.limitReport(sentAt),
 		Leaving:  leaving,
+		Pause:    pause,
 		Route:    c.route.Name,
 		Answered: r.success(),
 		Failed:   !r.success() && !r.notRun && (ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded)),
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -92,3 +92,73 @@
 		})
 	}
 }
+
+// A target that turns a request away and says for how long it wants none gets at most two
+// further requests of that entry between half a second later and the end of that time. The
+// others serve, and it gets requests again afterwards. If all targets say so, requests are
+// refused at once, and told to come back when targets want them again.
+func TestTargetThatWantsNoRequestsGetsThem(t *testing.T) {
+	const pause, settle, most = 3 * time.Second, 500 * time.Millisecond, 2
+	f := newFleet(t, 2, 3)
+	for _, target := range f.targets {
+		target.Work = 20 * time.Millisecond // some requests are hedged
+	}
+	pausing := f.targets[0]
+	var shedding atomic.Bool
+	shedding.Store(true)
+	pausing.SetPause(pause)
+	pausing.SetBehaviour(func(*http.Request) standin.Behaviour {
+		if shedding.Load() {
+			return standin.Shed
+		}
+		return standin.Serve
+	})
+	_, stop := sustainedTraffic(f, func(reply) bool { return false })
+	firstArrival := func(entry int) time.Time {
+		for _, a := range pausing.Arrivals() {
+			if strings.HasPrefix(a.ID, fmt.Sprint(entry, "-")) {
+				return a.At
+			}
+		}
+		return time.Time{}
+	}
+	f.waitUntil(func() bool { return !firstArrival(0).IsZero() && !firstArrival(1).IsZero() })
+	time.Sleep(pause)
+	for i := range f.entries {
+		from := firstArrival(i)
+		if n := arrivalsFrom(pausing, i, from.Add(settle), from.Add(pause)); n > most {
+			t.Errorf("%d requests of entry %d reached the target while it wanted none, want at most %d", n, i, most)
+		}
+	}
+	shedding.Store(false)
+	ended := time.Now()
+	f.waitUntil(func() bool {
+		return arrivalsFrom(pausing, 0, ended, time.Now()) > most && arrivalsFrom(pausing, 1, ended, time.Now()) > most
+	})
+	stop()
+
+	const long = time.Minute
+	for _, target := range f.targets {
+		target.SetPause(long)
+		target.SetBehaviour(func(*http.Request) standin.Behaviour { return standin.Shed })
+	}
+	e := f.entries[0]
+	f.waitUntil(func() bool {
+		f.call(e, http.MethodGet, "/safe/", fmt.Sprint("p", time.Now().UnixNano()), nil)
+		return e.snapshot.Load().services["s"].placer.PauseLeft(time.Now()) > 0
+	})
+	before := 0
+	for _, target := range f.targets {
+		before += len(target.Arrivals())
+	}
+	got := f.call(e, http.MethodGet, "/safe/", "refused", nil)
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q while no target wants requests", got.status, got.header.Get("Retry-After"))
+	}
+	for _, target := range f.targets {
+		before -= len(target.Arrivals())
+	}
+	if before != 0 {
+		t.Errorf("%d requests were sent to targets that want none", -before)
+	}
+}
--- a/gateway/look.go
+++ b/gateway/look.go
@@ -158,7 +158,7 @@
 	report := placer.Report{Ill: a.Status != http.StatusOK}
 	report.Load, report.HasLoad = platform.Load(a.Header)
 	report.Warmup, report.HasWarmup = platform.Warmup(a.Header)
-	report.Leaving = platform.Leaving(a.Header)
+	report.Leaving, report.Pause = platform.Leaving(a.Header), platform.Pause(a.Status, a.Header)
 	report.Limit = limitReport(a.Header, a.Status == http.StatusOK, askedAt)
 	s.placer.Report(t, report, now)
 	if conn.Spoiled() {
--- a/placer/candidate.go
+++ b/placer/candidate.go
@@ -24,7 +24,7 @@
 	n = min(n, maxCandidates)
 	preferred, others := shortlist{capacity: n}, shortlist{capacity: n}
 	for _, t := range targets {
-		if t.leaving || now.Before(t.backoffUntil) || slices.Contains(d.Tried, t) || s.isWithheld(t, now) {
+		if t.leaving || t.isPaused(now) || now.Before(t.backoffUntil) || slices.Contains(d.Tried, t) || s.isWithheld(t, now) {
 			continue
 		}
 		c := candidate{target: t, rank: uint64(t.penalty(now))<<32 | uint64(s.rand.Uint32())}
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -62,10 +62,11 @@
 // admits tells whether a target has room for one more request. As many requests
 // as it has slots may wait there: they start after about the processing time of
 // one request, and the other half of the target's queue is left to the requests
-// that other entries send at the same time. One that leaves has none. A cold target, and one that has named a
+// that other entries send at the same time. One that leaves, or wants
+// no requests for a time, has none. A cold target, and one that has named a
 // limit, also needs a token of the entry's bucket.
 func (s *Service) admits(t *Target, now time.Time) bool {
-	if t.leaving || !s.limitAllows(t, now) {
+	if t.leaving || t.isPaused(now) || !s.limitAllows(t, now) {
 		return false
 	}
 	if now.Before(t.coldUntil) {
--- a/placer/dump.go
+++ b/placer/dump.go
@@ -26,6 +26,9 @@
 	Ill bool `json:",omitempty"`
 	// Leaving is set if the target has said that it is about to leave.
 	Leaving bool `json:",omitempty"`
+	// PausedFor is the rest of the time for which the target wants no requests of this
+	// entry; empty if there is none.
+	PausedFor string `json:",omitempty"`
 	// ColdFor is the rest of the warm-up; empty if the target is warm.
 	ColdFor string `json:",omitempty"`
 	// AvoidedFor is the rest of the backoff after the target could not be
@@ -48,6 +51,7 @@
 			d.LoadAge = now.Sub(t.reportedAt).String()
 		}
 		d.ColdFor, d.AvoidedFor = remaining(t.coldUntil, now), remaining(t.backoffUntil, now)
+		d.PausedFor = remaining(t.pausedUntil, now)
 		if t.limit.named {
 			perSecond := t.limit.perSecond
 			d.Limit = &perSecond
--- a/placer/leaving.go
+++ b/placer/leaving.go
@@ -55,10 +55,12 @@
 
 // awayTarget is what a target has said that was listed until a time.
 type awayTarget struct {
-	limit     targetLimit
-	leaving   bool
-	startedMs int64
-	until     time.Time
+	limit   targetLimit
+	leaving bool
+	// pausedUntil is the time until which it wants no requests of this entry.
+	pausedUntil time.Time
+	startedMs   int64
+	until       time.Time
 }
 
 // keep keeps what a target has said that is no longer listed, and drops what is too old.
@@ -68,8 +70,8 @@
 			delete(s.away, name)
 		}
 	}
-	if t.limit.named || t.leaving {
-		s.away[t.Name] = awayTarget{limit: t.limit, leaving: t.leaving, startedMs: t.startedMs, until: now}
+	if t.limit.named || t.leaving || t.isPaused(now) {
+		s.away[t.Name] = awayTarget{limit: t.limit, leaving: t.leaving, pausedUntil: t.pausedUntil, startedMs: t.startedMs, until: now}
 	}
 }
 
@@ -78,12 +80,12 @@
 	known := s.away[t.Name]
 	delete(s.away, t.Name)
 	if former := s.targets[t.Name]; former != nil {
-		known = awayTarget{limit: former.limit, leaving: former.leaving, startedMs: former.startedMs}
+		known = awayTarget{limit: former.limit, leaving: former.leaving, pausedUntil: former.pausedUntil, startedMs: former.startedMs}
 	}
 	if known.startedMs != t.startedMs {
 		return
 	}
-	t.leaving = known.leaving
+	t.leaving, t.pausedUntil = known.leaving, known.pausedUntil
 	if known.limit.named {
 		s.restoreLimit(t, known.limit, now)
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -146,6 +146,8 @@
 	// leaving is set once the target has said that it is about to leave. It stays so
 	// until the target restarts.
 	leaving bool
+	// pausedUntil is the time until which the target wants no requests of this entry.
+	pausedUntil time.Time
 	// unhealthy is set if the latest health check reported a failure.
 	unhealthy bool
 	// backoffUntil is when a target that could not be reached may be probed
@@ -269,6 +271,7 @@
 	if r.Leaving {
 		s.noteLeaving(t)
 	}
+	t.notePause(r.Pause, now)
 }
 
 // Report is the answer to a health check.
@@ -284,6 +287,8 @@
 	Limit  LimitReport
 	// Leaving is set if the target says that it is about to leave.
 	Leaving bool
+	// Pause is the time for which the target wants no requests of this entry.
+	Pause time.Duration
 }
 
 // Miss records that a target did not answer a health check or could not be
@@ -384,6 +389,8 @@
 	Limit          LimitReport
 	// Leaving is set if the target's answer says that it is about to leave.
 	Leaving bool
+	// Pause is the time for which the target wants no requests of this entry.
+	Pause time.Duration
 }
 
 // Finish records the end of a request for which Start returned true.
@@ -396,6 +403,7 @@
 	if r.Leaving {
 		s.noteLeaving(t)
 	}
+	t.notePause(r.Pause, now)
 	s.recordOutcome(t, r, now)
 }
 
