Compute the fingerprint of a request once

Cause: while any request is known to have crashed a target, each request was hashed at each look, retry and answer, bodies of up to 1 MiB included.

Change: a call computes its fingerprint when it is first needed, once.

Result: the tests of crashes, restarts, retries and non-idempotent requests pass with the race detector.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"savoryroad.dev/isolator"
 	"savoryroad.dev/placer"
 	"savoryroad.dev/platform"
 	"savoryroad.dev/router"
@@ -33,8 +33,8 @@
 	route   *router.Active
 	service *service
 	request transporter.Request
-	// caller is the IP address that the request came from.
-	caller netip.Addr
+	// fingerprint returns the fingerprint of the request, which it computes once.
+	fingerprint func() isolator.Fingerprint
 	// body is the part of the request's body that is still to be read from the
 	// caller; nil if the whole body is in request.
 	body    *streamedBody
--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -54,9 +54,6 @@
 	return refused{reason: "targets ended while they ran the request", retryAfter: min(left, maxBlockedRetryAfter)}, true
 }
 
-// fingerprint returns the fingerprint of the call's request.
-func (c *call) fingerprint() isolator.Fingerprint { return fingerprint(c.caller, c.request) }
-
 // noteOutcome tells the isolator how an attempt has ended at its target.
 func (c *call) noteOutcome(r attemptResult) {
 	i := c.g.isolator
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,10 +7,12 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"savoryroad.dev/isolator"
 	"savoryroad.dev/platform"
 	"savoryroad.dev/transporter"
 )
@@ -86,7 +88,10 @@
 	}
 	c := &call{
 		g: g, route: route, service: snap.services[route.Next()], request: request, arrived: arrived, deadline: deadline,
-		version: snap.router.Config().Version, caller: callerAddr(r.RemoteAddr),
+		version: snap.router.Config().Version,
+		fingerprint: sync.OnceValue(func() isolator.Fingerprint {
+			return fingerprint(callerAddr(r.RemoteAddr), request)
+		}),
 	}
 	result := c.run(r.Context())
 	c.report(result, r.Context().Err() != nil)
