Don't block a request that was answered shortly before its crashes

Callers saw nothing yet: found by reading the change that blocks requests that crash targets.

Cause: when many targets end at once, a request that is sent often, such as a poll of one path by many callers behind one address, loses its connection to several of them in the same moment.

Change: an answer voids the crashes within 10 s after it as well. Entries remember their latest answers, and an entry that hears of crashes of a request that it has answered tells the others.

--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -59,9 +59,7 @@
 	i := c.g.isolator
 	switch {
 	case r.success() && r.answer.Status < http.StatusMultipleChoices:
-		if i.HasSuspects() {
-			i.Answered(c.fingerprint(), time.Now())
-		}
+		i.Answered(c.fingerprint(), time.Now())
 	case r.brokeOff() && c.g.hasEnded(c.service, r.target):
 		n := i.Crashed(c.fingerprint(), r.target.Name, r.target.Born(), time.Now())
 		c.g.crashes.Inc(1)
--- a/isolator/registry.go
+++ b/isolator/registry.go
@@ -23,7 +23,9 @@
 //     takes over after a random delay.
 //   - From CrashLimit crashes on, the request is blocked at all entries, for longer with
 //     each further crash.
-//   - An answer shows that a request is harmless. It removes the crashes before it.
+//   - An answer shows that a request is harmless. It voids the crashes before it and those
+//     that follow within vouchTime: when many targets end at once, a request that is sent
+//     often loses its connection to several of them.
 const (
 	// CrashLimit is the number of targets that a request ends before it is blocked.
 	CrashLimit = 3
@@ -39,6 +41,10 @@
 	// and blockedTTL one that was.
 	suspectTTL = 10 * time.Minute
 	blockedTTL = 2 * maxBlock
+	// vouchTime is how long after an answer crashes aren't held against a request, and
+	// maxAnswers the number of requests whose latest answer an entry remembers.
+	vouchTime  = 10 * time.Second
+	maxAnswers = 1 << 13
 	// maxCrashes is the number of crashes that are kept of a case, and maxCases the
 	// number of cases that are kept.
 	maxCrashes = 8
@@ -72,7 +78,8 @@
 	Fingerprint Fingerprint `cbor:"0,keyasint"`
 	Crashes     []Crash     `cbor:"1,keyasint,omitempty"`
 	// Answer is a random number that identifies the latest answer of a target to the
-	// request, AnsweredAge ago; 0 if there was none. Crashes before it don't count.
+	// request, AnsweredAge ago; 0 if there was none. Crashes until vouchTime after it
+	// don't count.
 	Answer      uint64        `cbor:"2,keyasint,omitempty"`
 	AnsweredAge time.Duration `cbor:"3,keyasint,omitempty"`
 }
@@ -96,13 +103,19 @@
 	at     time.Time
 }
 
+// answer is an answer to a request.
+type answer struct {
+	fingerprint Fingerprint
+	at          time.Time
+}
+
 // record is the state of a case.
 type record struct {
 	// crashes are in order of their times, at most maxCrashes.
 	crashes []crash
 	// answer identifies the latest answer, and answeredAt is its time; 0 and zero if
-	// there was none. All crashes are later. An answer that is heard again keeps its
-	// time, which would otherwise move on with each message.
+	// there was none. All crashes are later than vouchTime after it. An answer that is
+	// heard again keeps its time, which would otherwise move on with each message.
 	answer     uint64
 	answeredAt time.Time
 	// untold is set if something has changed that the home entries have not been told,
@@ -123,6 +136,9 @@
 
 	mu      sync.Mutex
 	records map[Fingerprint]*record
+	// answers holds the latest answers to requests that have no record, at the place that
+	// their fingerprint determines.
+	answers [maxAnswers]answer
 	// refreshedAt is when cases were last repeated, and expiredAt when old ones were
 	// last removed.
 	refreshedAt, expiredAt time.Time
@@ -166,16 +182,20 @@
 func (r *Registry) Answered(f Fingerprint, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.answers[f%maxAnswers] = answer{f, now}
 	c, ok := r.records[f]
 	if !ok || len(c.crashes) == 0 {
 		return
 	}
 	c.unspread = len(c.crashes) >= spreadFrom
 	c.untold = true
-	c.answered(1+uint64(r.random()*(1<<53)), now)
+	c.answered(r.newAnswerID(), now)
 	r.count()
 }
 
+// newAnswerID returns a random number that identifies an answer.
+func (r *Registry) newAnswerID() uint64 { return 1 + uint64(r.random()*(1<<53)) }
+
 // Hear applies a message of a peer and returns the number of requests that it blocks or
 // unblocks.
 func (r *Registry) Hear(n News, peers int, now time.Time) (changes int) {
@@ -279,6 +299,9 @@
 		r.makeRoom()
 		c = &record{}
 		r.records[f] = c
+		if a := r.answers[f%maxAnswers]; a.fingerprint == f && !a.at.IsZero() {
+			c.answered(r.newAnswerID(), a.at)
+		}
 	}
 	return c
 }
@@ -331,7 +354,7 @@
 // add adds a crash unless it is known or from before an answer.
 func (c *record) add(added crash) bool {
 	known := slices.ContainsFunc(c.crashes, func(k crash) bool { return k.target == added.target && k.born == added.born })
-	if known || !added.at.After(c.answeredAt) {
+	if known || c.isVoid(added) {
 		return false
 	}
 	c.crashes = append(c.crashes, added)
@@ -344,6 +367,11 @@
 	return true
 }
 
+// isVoid reports whether an answer voids a crash.
+func (c *record) isVoid(k crash) bool {
+	return c.answer != 0 && !k.at.After(c.answeredAt.Add(vouchTime))
+}
+
 // changed notes that this entry has observed a crash.
 func (c *record) changed() {
 	c.untold = true
@@ -356,7 +384,7 @@
 	if id != c.answer && at.After(c.answeredAt) {
 		c.answer, c.answeredAt = id, at
 	}
-	c.crashes = slices.DeleteFunc(c.crashes, func(k crash) bool { return !k.at.After(c.answeredAt) })
+	c.crashes = slices.DeleteFunc(c.crashes, c.isVoid)
 }
 
 // latest returns the time of the latest crash or answer.
--- a/isolator/registry_test.go
+++ b/isolator/registry_test.go
@@ -293,3 +293,26 @@
 		t.Error("an entry that has restarted doesn't hear of the case")
 	}
 }
+
+// When many targets end at once, a request that is sent often loses its connection to
+// several of them. It has been answered before, be it at another entry, and isn't blocked.
+// A request that crashes targets though it was answered longer ago is.
+func TestRequestIsBlockedWhenManyTargetsEnd(t *testing.T) {
+	for _, c := range []struct {
+		after   time.Duration
+		blocked bool
+	}{{time.Second, false}, {vouchTime - time.Second, false}, {vouchTime + time.Second, true}} {
+		f := newSimulatedFleet(6, 2, 0)
+		f.entries[5].Answered(1, f.now)
+		f.advance(c.after)
+		for i := range 5 {
+			f.entries[i].Crashed(1, loader.TargetName(fmt.Sprint(i)), 1, f.now)
+		}
+		f.advance(time.Second)
+		for e, r := range f.entries {
+			if _, ok := r.Blocked(1, f.now); ok != c.blocked {
+				t.Errorf("%v after an answer, entry %d: blocked %v, want %v", c.after, e, ok, c.blocked)
+			}
+		}
+	}
+}
