Restore the store and crash targets in the soak

Cause: the soak had neither a store that comes back from an older copy nor a request that ends targets.

Change: each run restores the store once from a copy up to 4 s old, after which operators and targets write again, and sends a request that crashes the targets that run it to all entries in turn. It checks that stable entries send it at most three times later than 3 s after the third crash.

TestSoak passes with the race detector.

--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -103,6 +103,8 @@
 	// configuredAt the time of its publication.
 	configVersion int
 	configuredAt  time.Time
+	// crashes holds the requests under which targets have crashed.
+	crashes []standin.Arrival
 	// storeUnstableUntil is the time before which time bounds that depend on the
 	// store are not checked, because of a fault.
 	storeUnstableUntil time.Time
@@ -127,6 +129,8 @@
 	defer endLimits()
 	var limits sync.WaitGroup
 	limits.Go(func() { s.nameLimits(limitCtx) })
+	limits.Go(func() { s.restoreStore(limitCtx) })
+	limits.Go(func() { s.sendLethal(limitCtx) })
 	s.injectFaults(ctx)
 	endLimits()
 	limits.Wait()
@@ -139,6 +143,7 @@
 	stopCalls()
 	wg.Wait()
 	s.checker.check(s.targets)
+	s.checkCrashes(s.checker.outcomes)
 	for _, p := range s.processes {
 		if p.restartErr != nil {
 			s.checker.addViolation("soak", "%s could not be restarted: %v", p.settings.Name, p.restartErr)
--- a/soaker/target.go
+++ b/soaker/target.go
@@ -141,6 +141,7 @@
 		t.coldUntil = time.Now().Add(cold)
 		t.SetCold(t.coldUntil)
 	}
+	t.SetLethal(lethalPath, func(id string) { s.crash(t, id) })
 	s.targets, s.activeTargets = append(s.targets, t), append(s.activeTargets, t)
 	s.register(t, "ready", cold)
 	return nil
@@ -175,13 +176,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configVersion++
+	s.putConfig()
+	s.configuredAt = time.Now()
+}
+
+// putConfig writes the current version of the configuration. The caller holds s.mu.
+func (s *Soaker) putConfig() {
 	routes := map[string]standin.Route{}
 	for kind, prefix := range map[string]string{"safe": "/a/", "unsafe": "/u/", "upload": "/l/", "download": "/d/"} {
 		routes[kind] = standin.Route{Host: host, PathPrefix: prefix, Service: serviceName, Kind: kind, Timeout: 1500, Objective: 300}
 	}
 	routes["version"] = standin.Route{Host: host, PathPrefix: versionPathPrefix(s.configVersion), Service: serviceName, Kind: "safe", Timeout: 1500, Objective: 300}
 	s.store.PutConfig(s.configVersion, []string{serviceName}, routes)
-	s.configuredAt = time.Now()
 }
 
 // versionPathPrefix returns the path prefix of the route that only the given
