Trust the store, and not a peer, for the era it is in

Callers saw nothing yet: found by reading the change to eras.

Cause: an entry that had heard of an era that the store doesn't name, or whose store named a former one, read anew at each tick, 20 times a second.

Change: what the store answers decides; a peer's word only makes an entry read. After an answer of a former era it waits like after a failed read.

Result: TestUnknownEraIsReadAgainAndAgain fails without ("1 entries made 1901 reads in 10 s of a former era, want at most 80") and passes; so does the property of restored stores.

--- a/tracker/restore_test.go
+++ b/tracker/restore_test.go
@@ -316,3 +316,31 @@
 		}
 	})
 }
+
+// An entry that hears of an era that the store isn't in must not read the store again and
+// again.
+func TestUnknownEraIsReadAgainAndAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "entries")
+		f := newSimFleet(t, n)
+		f.era = 2
+		f.targetRecords = []Msg{RegisterMsg{registration("a", 1, 1, loader.Active)}}
+		f.run(3 * time.Second)
+		for _, m := range f.models {
+			m.Update(NewsMsg{News{Topic: Targets, Era: Era(rapid.SampledFrom([]int{0, 1, 3, 9}).Draw(t, "era")), From: 1, Next: 1}}, f.now)
+		}
+		f.run(time.Second)
+		f.reads = 0
+		f.run(10 * time.Second)
+		if most := 2 * 10 * 3; f.reads > most {
+			t.Fatalf("%d entries made %d reads in 10 s, want at most %d", n, f.reads, most)
+		}
+		f.era = 1
+		f.reads = 0
+		f.run(10 * time.Second)
+		// Each entry retries each topic after a backoff.
+		if most := 2 * 10 * 4 * n; f.reads > most {
+			t.Fatalf("%d entries made %d reads in 10 s of a former era, want at most %d", n, f.reads, most)
+		}
+	})
+}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -251,6 +251,7 @@
 	switch {
 	case msg.Era < v.Era:
 		// The store was restored since, and a peer has told what it holds now.
+		v.PausedUntil = now.Add(failureBackoff + m.jitter(failureJitter))
 		return nil
 	case restored && !msg.Full:
 		v.LatestEra = max(v.LatestEra, msg.Era)
@@ -259,6 +260,9 @@
 		// Gossip that arrived during the read has advanced the view further.
 		return nil
 	}
+	// Only the store decides which era it is in. If a peer told of a later one, the next
+	// message of that peer makes this entry read again.
+	v.LatestEra = max(v.Era, msg.Era)
 	// A full read skips ahead if it replaces the reading of many records.
 	skips := msg.Full && v.Known && msg.Topic == Orders && !restored
 	// After the first read, and after a read that filled a gap in the peers'
