--- a/gateway/call.go
+++ b/gateway/call.go
@@ -202,8 +202,8 @@
 // canRetry reports whether the call may be sent to another target. A call that
 // may have run is retried only if its route is idempotent, and one with a streamed
 // body only if none of that body has been read: a further target would get a
-// truncated one. A call that crashes targets is not retried. The route's limit on attempts doesn't apply after an attempt of
-// which no byte was sent.
+// truncated one. A call that crashes targets is not retried. The route's limit on
+// attempts doesn't apply after an attempt of which no byte was sent.
 func (c *call) canRetry(r attemptResult) bool {
 	if _, blocked := c.refuseBlocked(); blocked {
 		return false
