Hold the latest answer to a request against its crashes

Callers saw nothing yet: found by reading the change again.

Cause: once a crash of a request had been voided by an answer, its record kept that answer and took no later one. From 10 s after it on, crashes counted though the request was answered all the time, and three targets that end at once would have blocked it.

Change: a record takes the latest answer that the entry remembers each time it is used.

Result: TestRequestIsBlockedThoughItIsAnswered fails without ("entry 0 blocks the request after 8 crashes") and passes, with the other tests of the package, with the race detector.

--- a/isolator/registry.go
+++ b/isolator/registry.go
@@ -136,8 +136,8 @@
 
 	mu      sync.Mutex
 	records map[Fingerprint]*record
-	// answers holds the latest answers to requests that have no record, at the place that
-	// their fingerprint determines.
+	// answers holds the latest answers to requests, at the place that their fingerprint
+	// determines.
 	answers [maxAnswers]answer
 	// refreshedAt is when cases were last repeated, and expiredAt when old ones were
 	// last removed.
@@ -292,16 +292,17 @@
 	return cases
 }
 
-// record returns the record of a request, which it adds if there is none.
+// record returns the record of a request, which it adds if there is none, with the latest
+// answer that is remembered.
 func (r *Registry) record(f Fingerprint) *record {
 	c, ok := r.records[f]
 	if !ok {
 		r.makeRoom()
 		c = &record{}
 		r.records[f] = c
-		if a := r.answers[f%maxAnswers]; a.fingerprint == f && !a.at.IsZero() {
-			c.answered(r.newAnswerID(), a.at)
-		}
+	}
+	if a := r.answers[f%maxAnswers]; a.fingerprint == f && a.at.After(c.answeredAt) {
+		c.answered(r.newAnswerID(), a.at)
 	}
 	return c
 }
--- a/isolator/registry_test.go
+++ b/isolator/registry_test.go
@@ -316,3 +316,29 @@
 		}
 	}
 }
+
+// A request that is answered again and again isn't blocked by crashes now and then, also if
+// an earlier one was voided longer ago than an answer counts.
+func TestRequestIsBlockedThoughItIsAnswered(t *testing.T) {
+	f := newSimulatedFleet(6, 4, 0)
+	ended := 0
+	f.entries[4].Answered(1, f.now)
+	for range 4 {
+		for e := range 4 {
+			f.entries[e].Crashed(1, loader.TargetName(fmt.Sprint(ended)), 1, f.now)
+			ended++
+		}
+		f.advance(time.Second)
+		for e, r := range f.entries {
+			if _, ok := r.Blocked(1, f.now); ok {
+				t.Fatalf("entry %d blocks the request after %d crashes", e, ended)
+			}
+		}
+		for range 30 {
+			for _, r := range f.entries {
+				r.Answered(1, f.now)
+			}
+			f.advance(time.Second)
+		}
+	}
+}
