--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
 	"savoryroad.dev/gossiper"
@@ -36,9 +35,6 @@
 	crashReadJitter = 17 * time.Millisecond
 	// maxCasesPerReply is the number of cases that an entry tells one that asks.
 	maxCasesPerReply = 120
-	// maxBlockedRetryAfter bounds the delay after which the caller of a blocked request
-	// may come back.
-	maxBlockedRetryAfter = 24 * time.Hour
 )
 
 // refuseBlocked returns a refusal if the call is one of those that crash targets.
@@ -51,7 +47,7 @@
 	if !blocked {
 		return refused{}, false
 	}
-	return refused{reason: "targets ended while they ran the request", retryAfter: min(left, maxBlockedRetryAfter)}, true
+	return refused{reason: "targets ended while they ran the request", retryAfter: left}, true
 }
 
 // noteOutcome tells the isolator how an attempt has ended at its target.
@@ -83,8 +79,8 @@
 // hasEnded reports whether a target whose connection broke off has ended: it takes no
 // connection any more, breaks off each one, or another target has its address. A target
 // that doesn't respond in time may be cut off, and one that responds, in whichever way,
-// breaks off some requests only. The check counts towards the limit on health checks, but is made also
-// if that is used up: there is at most one for an attempt.
+// breaks off some requests only. The check counts towards the limit on health checks, but
+// is made also if that is used up: there is at most one for an attempt.
 func (g *Gateway) hasEnded(s *service, t *placer.Target) bool {
 	s.probeLimiter.Take(1, time.Now())
 	conn, err := g.probe(s, t)
@@ -115,7 +111,7 @@
 // it asks.
 func (g *Gateway) hearCrashes(from netip.Addr, n isolator.News, now time.Time) {
 	if changes := g.isolator.Hear(n, g.gossiper.Count(), now); changes > 0 {
-		g.log.WithLevel(zerolog.InfoLevel).Int("Changes", changes).Msg("blocked requests changed")
+		g.log.Info().Int("Changes", changes).Msg("blocked requests changed")
 	}
 	if n.Loaded {
 		g.crashesLoaded.Store(true)
