--- a/review/2/main.go
+++ b/review/2/main.go
@@ -20,11 +20,8 @@
 const (
 	entries = 3
 	targets = 6
-	// usual and clump are the numbers of requests a second that clients send to each entry,
-	// most of the time and for clumpTime from when the targets are cold.
-	usual     = 20
-	clump     = 150
-	clumpTime = 2 * time.Second
+	// perSecond is the number of requests a second that clients send to each entry.
+	perSecond = 45
 	rounds    = 6
 	// startGap is the time between the starts of two entries, as in a rolling restart.
 	startGap = 800 * time.Millisecond
@@ -39,11 +36,8 @@
 	bound = 14*1.5 + 5
 )
 
-// clumpEnd is the end of the time in which clients send more, in Unix nanoseconds.
-var clumpEnd atomic.Int64
-
 func main() {
-	f := lab.NewFleet("review/2", entries)
+	f := lab.NewFleet("review/2", entries, "hobart")
 	joins := make(chan int, 100)
 	f.Store.Joined = func(member string) {
 		f.Note("join", "%s", member)
@@ -54,12 +48,11 @@
 		}
 	}
 	var all []*lab.Target
-	zones := []string{"hobart", "launceston", "devonport", "burnie"}
 	f.Store.Configure(7, []string{"balances"}, map[string]lab.Route{
 		"read": {Host: "a.example", Prefix: "/r/", Kind: "safe", Service: "balances", Timeout: 2500 * time.Millisecond, Objective: 300 * time.Millisecond, MaxAttempts: 2},
 	})
-	for i := range targets {
-		all = append(all, lab.NewTarget(f.Store, f.Net+".100", fmt.Sprintf("i-%08x", rand.Uint32()), "balances", zones[i%4], 6, 20*time.Millisecond))
+	for range targets {
+		all = append(all, lab.NewTarget(f.Store, f.Net+".100", fmt.Sprintf("i-%08x", rand.Uint32()), "balances", "hobart", 6, 20*time.Millisecond))
 	}
 	f.Start(startGap)
 	var statuses [600]atomic.Int64
@@ -88,7 +81,6 @@
 			t.ColdUntil.Store(now.Add(warmup).UnixNano())
 		}
 		colds = append(colds, cold{now, now.Add(warmup)})
-		clumpEnd.Store(now.Add(clumpTime).UnixNano())
 		f.Note("targets", "round %d: all are cold for %v", round+1, warmup)
 		time.Sleep(minGap - coldAfter)
 	}
@@ -163,14 +155,10 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for n := 0; ; n++ {
-		gap := time.Second / usual
-		if time.Now().UnixNano() < clumpEnd.Load() {
-			gap = time.Second / clump
-		}
 		select {
 		case <-stop:
 			return
-		case <-time.After(gap):
+		case <-time.After(time.Second / perSecond):
 		}
 		wg.Go(func() {
 			req, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/r/%s/%d", e.Front(), e.Name, n), nil)
