--- a/review/2/main.go
+++ b/review/2/main.go
@@ -149,7 +149,7 @@
 	return most, by
 }
 
-// send sends requests to an entry .
+// send sends requests to an entry at a constant rate.
 func send(f *lab.Fleet, e *lab.Entry, stop <-chan struct{}, statuses *[600]atomic.Int64) {
 	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
 	var wg sync.WaitGroup
