Log each attempt without an answer, and what its target has shown

Cause: the log had a line only for targets that were found to have ended. Four hypotheses on the targets that end in waves could not be told apart.

Change: the check of a target returns a verdict: ended, alive, silent, no free connection, not checked. A line and a counter name it, with the caller's address, the fingerprint and the target's incarnation. No logic changes.

Result: go vet and the tests of requests that crash targets pass.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +34,8 @@
 	route   *router.Active
 	service *service
 	request transporter.Request
+	// caller is the caller's IP address.
+	caller netip.Addr
 	// fingerprint returns the fingerprint of the request, which it computes once.
 	fingerprint func() isolator.Fingerprint
 	// body is the part of the request's body that is still to be read from the
--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
 	"savoryroad.dev/gossiper"
@@ -17,6 +19,7 @@
 	"savoryroad.dev/loader"
 	"savoryroad.dev/placer"
 	"savoryroad.dev/platform"
+	"savoryroad.dev/recorder"
 	"savoryroad.dev/transporter"
 )
 
@@ -56,14 +59,34 @@
 	switch {
 	case r.success() && r.answer.Status < http.StatusMultipleChoices:
 		i.Answered(c.fingerprint(), time.Now())
-	case r.brokeOff() && c.g.hasEnded(c.service, r.target):
+	case r.brokeOff():
+		v := c.g.checkEnd(c.service, r.target)
+		c.logUnanswered(r, v)
+		if v != endConfirmed {
+			return
+		}
 		n := i.Crashed(c.fingerprint(), r.target.Name, r.target.Born(), time.Now())
 		c.g.crashes.Inc(1)
 		c.g.log.Warn().Str("Request", c.request.ID).Str("Fingerprint", c.fingerprint().String()).Str("Target", string(r.target.Name)).
 			Str("Service", string(c.service.name)).Int("Crashes", n).Msg("target ended while it ran the request")
+	case errors.Is(r.err, transporter.ErrNoResponse):
+		c.logUnanswered(r, endNotChecked)
 	}
 }
 
+// logUnanswered logs an attempt without an answer, and what a check of its target has
+// shown.
+func (c *call) logUnanswered(r attemptResult, v endVerdict) {
+	c.g.recorder.Counter("unanswered_attempts_total", recorder.Label{Name: "target", Value: v.String()}).Inc(1)
+	level := zerolog.InfoLevel
+	if v == endNotChecked {
+		level = zerolog.DebugLevel
+	}
+	c.g.log.WithLevel(level).Err(r.err).Str("Request", c.request.ID).Str("Fingerprint", c.fingerprint().String()).Str("Caller", c.caller.String()).
+		Str("Target", string(r.target.Name)).Int64("Born", r.target.Born()).Str("Service", string(c.service.name)).
+		Str("Check", v.String()).Msg("no answer")
+}
+
 // brokeOff reports whether the connection ended before the answer had arrived, by itself
 // and not because the time for the attempt was over.
 func (r attemptResult) brokeOff() bool {
@@ -76,19 +99,52 @@
 	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, unix.ECONNREFUSED, unix.ECONNRESET, unix.EPIPE)
 }
 
-// hasEnded reports whether a target whose connection broke off has ended: it takes no
+// endVerdict is what a check of a target shows after an attempt without an answer.
+type endVerdict int
+
+//go:generate go tool stringer -type=endVerdict -linecomment -output=verdict_string.go
+
+const (
+	// endNotChecked means that the target was not checked.
+	endNotChecked endVerdict = iota // not checked
+	// endBusy means that no connection was free for the check.
+	endBusy // no free connection
+	// endSilent means that the target does not respond: it has ended, or is cut off.
+	endSilent // silent
+	// endRefuted means that the target responds.
+	endRefuted // alive
+	// endConfirmed means that the target has ended.
+	endConfirmed // ended
+)
+
+// checkEnd checks whether a target whose connection broke off has ended: it takes no
 // connection any more, breaks off each one, or another target has its address. A target
 // that doesn't respond in time may be cut off, and one that responds, in whichever way,
 // breaks off some requests only. The check counts towards the limit on health checks, but
 // is made also if that is used up: there is at most one for an attempt.
-func (g *Gateway) hasEnded(s *service, t *placer.Target) bool {
+func (g *Gateway) checkEnd(s *service, t *placer.Target) endVerdict {
 	s.probeLimiter.Take(1, time.Now())
 	conn, err := g.probe(s, t)
-	if err == nil {
+	switch {
+	case err == nil:
 		conn.Release()
-		return false
+		return endRefuted
+	case isBrokenConnection(err), errors.Is(err, errOtherTarget):
+		return endConfirmed
+	case errors.Is(err, transporter.ErrBusy):
+		return endBusy
+	case isSilence(err):
+		return endSilent
+	default:
+		return endRefuted
 	}
-	return isBrokenConnection(err) || errors.Is(err, errOtherTarget)
+}
+
+// isSilence reports whether an error means that the other end has not responded in time,
+// or can't be reached.
+func isSilence(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr)
 }
 
 // spreadCrashes sends the messages about requests that crash targets that are due.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -88,11 +88,9 @@
 	}
 	c := &call{
 		g: g, route: route, service: snap.services[route.Next()], request: request, arrived: arrived, deadline: deadline,
-		version: snap.router.Config().Version,
-		fingerprint: sync.OnceValue(func() isolator.Fingerprint {
-			return fingerprint(callerAddr(r.RemoteAddr), request)
-		}),
+		version: snap.router.Config().Version, caller: callerAddr(r.RemoteAddr),
 	}
+	c.fingerprint = sync.OnceValue(func() isolator.Fingerprint { return fingerprint(c.caller, request) })
 	result := c.run(r.Context())
 	c.report(result, r.Context().Err() != nil)
 	g.writeResult(w, r, c, result)
