--- a/gateway/isolate_test.go
+++ b/gateway/isolate_test.go
@@ -17,17 +17,23 @@
 // crashOnLethal makes the targets of a fleet crash under lethal requests, and registers
 // those that are back. It returns a function that returns the times of the crashes.
 func crashOnLethal(f *fleet) (crashes func() []time.Time) {
+	return endOnLethal(f, standin.Refuse, standin.CrashTime)
+}
+
+// endOnLethal makes the targets of a fleet end under lethal requests, for a time, and
+// registers those that are back. It returns a function that returns the times of the ends.
+func endOnLethal(f *fleet, end standin.End, d time.Duration) (ends func() []time.Time) {
 	var mu sync.Mutex
 	var at []time.Time
 	for _, target := range f.targets {
 		target.SetBehaviour(func(r *http.Request) standin.Behaviour {
-			if !strings.Contains(r.URL.Path, lethalPath) {
-				return standin.Serve
-			}
 			mu.Lock()
 			defer mu.Unlock()
-			at = append(at, time.Now())
-			return standin.Crash
+			if strings.Contains(r.URL.Path, lethalPath) && !target.IsDown() {
+				at = append(at, time.Now())
+				target.EndAs(end, d)
+			}
+			return standin.Serve
 		})
 	}
 	stop := make(chan struct{})
