Count targets that end silently under a request

Cause: only a target that refuses or resets a new connection at once counted. One that is silent was dismissed for good, because it might be cut off; an attempt without an answer was never looked at. The class: a question that can't be answered at once was answered with no.

Change: the fate of such a target stays open. It counts while it is silent, in that the request is refused for a second at a time at all entries, and it is settled by what comes later: a response (alive), a refused connection, another target at its address, or a later incarnation in its registration (ended). The entry and the home entries check it; one that is cut off hears from the others.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -129,6 +129,7 @@
 			msg = tracker.TickMsg{Peers: g.gossiper.Count()}
 			g.spreadLimits(time.Now())
 			g.spreadLeaving()
+			g.watchTargets(ctx, time.Now())
 			g.spreadCrashes(ctx, time.Now())
 			if now := time.Now(); now.Sub(lastIdleCheck) >= idleCheckInterval {
 				lastIdleCheck = now
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"savoryroad.dev/isolator"
 	"savoryroad.dev/placer"
 	"savoryroad.dev/platform"
 	"savoryroad.dev/router"
@@ -36,8 +35,8 @@
 	request transporter.Request
 	// caller is the caller's IP address.
 	caller netip.Addr
-	// fingerprint returns the fingerprint of the request, which it computes once.
-	fingerprint func() isolator.Fingerprint
+	// fingerprints returns the fingerprints of the request, which it computes once.
+	fingerprints func() fingerprints
 	// body is the part of the request's body that is still to be read from the
 	// caller; nil if the whole body is in request.
 	body    *streamedBody
@@ -354,7 +353,9 @@
 // result to the placer.
 func (c *call) sendAttempt(ctx context.Context, sel selection, request transporter.Request) attemptResult {
 	t, sentAt := sel.choice.Target, time.Now()
+	watch := c.watchSilence(t)
 	a, err := sel.conn.Send(ctx, request)
+	watch.stop()
 	var leaving bool
 	var pause time.Duration
 	if err == nil && a.Status != http.StatusMisdirectedRequest {
--- a/gateway/fingerprint.go
+++ b/gateway/fingerprint.go
@@ -10,16 +10,19 @@
 	"savoryroad.dev/transporter"
 )
 
-// fingerprint returns the hash by which a request is recognised when its caller sends it
-// again under another ID. It covers the caller, the target of the request and the part
-// of the body that is buffered.
-func fingerprint(caller netip.Addr, r transporter.Request) isolator.Fingerprint {
+// fingerprints are the hashes by which a request is recognised when it is sent again under
+// another ID.
+type fingerprints [1]isolator.Fingerprint
+
+// newFingerprints returns the fingerprints of a request. They cover what the target gets
+// of it: the method, host, URI, length and the part of the body that is buffered.
+func newFingerprints(caller netip.Addr, r transporter.Request) fingerprints {
 	h := xxhash.New()
 	for _, part := range []string{caller.String(), r.Method, r.Host, r.URI, strconv.FormatInt(r.Length, 10)} {
 		_, _ = h.WriteString(part + "\n") // a hash accepts all writes
 	}
 	_, _ = h.Write(r.Body)
-	return isolator.Fingerprint(h.Sum64())
+	return fingerprints{isolator.Fingerprint(h.Sum64())}
 }
 
 // callerAddr returns the IP address of a remote address, without its port. It is invalid
--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -46,51 +45,93 @@
 	if !i.HasSuspects() {
 		return refused{}, false
 	}
-	left, blocked := i.Blocked(c.fingerprint(), time.Now())
-	if !blocked {
-		return refused{}, false
+	now := time.Now()
+	for _, f := range c.fingerprints() {
+		if left, blocked := i.Blocked(f, now); blocked {
+			return refused{reason: "targets ended while they ran the request", retryAfter: left}, true
+		}
 	}
-	return refused{reason: "targets ended while they ran the request", retryAfter: left}, true
+	return refused{}, false
 }
 
 // noteOutcome tells the isolator how an attempt has ended at its target.
 func (c *call) noteOutcome(r attemptResult) {
-	i := c.g.isolator
 	switch {
-	case r.success() && r.answer.Status < http.StatusMultipleChoices:
-		i.Answered(c.fingerprint(), time.Now())
-	case r.brokeOff():
-		v := c.g.checkEnd(c.service, r.target)
-		c.logUnanswered(r, v)
-		if v != endConfirmed {
-			return
-		}
-		n := i.Crashed(c.fingerprint(), r.target.Name, r.target.Born(), time.Now())
-		c.g.crashes.Inc(1)
-		c.g.log.Warn().Str("Request", c.request.ID).Str("Fingerprint", c.fingerprint().String()).Str("Target", string(r.target.Name)).
-			Str("Service", string(c.service.name)).Int("Crashes", n).Msg("target ended while it ran the request")
+	case r.success():
+		c.noteAnswered(r.answer.Status)
 	case errors.Is(r.err, transporter.ErrNoResponse):
-		c.logUnanswered(r, endNotChecked)
+		c.noteUnanswered(r.target, r.err)
+	}
+}
+
+// noteAnswered tells the isolator that a target has answered the request completely.
+func (c *call) noteAnswered(status int) {
+	if status >= http.StatusMultipleChoices {
+		return
+	}
+	for _, f := range c.fingerprints() {
+		c.g.isolator.Answered(f, time.Now())
+	}
+}
+
+// noteUnanswered tells the isolator that a target has not answered the request, for a
+// reason. If the target broke off the connection, it is checked, for which the call waits
+// for a short time: one that has ended is then known before the call is sent again.
+func (c *call) noteUnanswered(t *placer.Target, reason error) {
+	at := time.Now()
+	if !isBrokenConnection(reason) {
+		c.note(t, at, reason, endNotChecked)
+		return
+	}
+	checked := make(chan struct{})
+	go func() {
+		defer close(checked)
+		c.note(t, at, reason, c.g.checkEnd(c.service, t))
+	}()
+	timer := time.NewTimer(endCheckWait)
+	defer timer.Stop()
+	select {
+	case <-checked:
+	case <-timer.C:
 	}
 }
 
-// logUnanswered logs an attempt without an answer, and what a check of its target has
-// shown.
-func (c *call) logUnanswered(r attemptResult, v endVerdict) {
-	c.g.recorder.Counter("unanswered_attempts_total", recorder.Label{Name: "target", Value: v.String()}).Inc(1)
+// note tells the isolator and the log that a target has not answered the request since a
+// time, and what a check of it has shown.
+func (c *call) note(t *placer.Target, at time.Time, reason error, v endVerdict) {
+	g, target := c.g, incarnation(t)
+	g.recorder.Counter("unanswered_attempts_total", recorder.Label{Name: "target", Value: v.String()}).Inc(1)
 	level := zerolog.InfoLevel
 	if v == endNotChecked {
 		level = zerolog.DebugLevel
 	}
-	c.g.log.WithLevel(level).Err(r.err).Str("Request", c.request.ID).Str("Fingerprint", c.fingerprint().String()).Str("Caller", c.caller.String()).
-		Str("Target", string(r.target.Name)).Int64("Born", r.target.Born()).Str("Service", string(c.service.name)).
+	prints := c.fingerprints()
+	g.log.WithLevel(level).Err(reason).Str("Request", c.request.ID).Str("Fingerprint", prints[0].String()).
+		Str("Caller", c.caller.String()).
+		Str("Target", string(t.Name)).Int64("Born", t.Born()).Str("Service", string(c.service.name)).
 		Str("Check", v.String()).Msg("no answer")
+	if v == endConfirmed || v == endReset && isBrokenConnection(reason) {
+		g.crashes.Inc(1)
+	}
+	for _, f := range prints {
+		switch {
+		case v == endConfirmed, v == endReset && isBrokenConnection(reason):
+			n := g.isolator.Crashed(f, target.Target, target.Born, at)
+			g.logEnd(target, isolator.End{Fingerprint: f, Crashes: n}, v.String())
+		case v == endRefuted:
+			g.isolator.Unanswered(f, target, isolator.Alive, at, time.Now())
+		case v == endSilent:
+			g.isolator.Unanswered(f, target, isolator.Silent, at, time.Now())
+		default:
+			g.isolator.Unanswered(f, target, isolator.Unknown, at, time.Now())
+		}
+	}
 }
 
-// brokeOff reports whether the connection ended before the answer had arrived, by itself
-// and not because the time for the attempt was over.
-func (r attemptResult) brokeOff() bool {
-	return errors.Is(r.err, transporter.ErrNoResponse) && isBrokenConnection(r.err)
+// logEnd logs that a target has ended under a request, and what has shown it.
+func (g *Gateway) logEnd(target isolator.Incarnation, e isolator.End, shownBy string) {
+	g.log.Warn().Str("Fingerprint", e.Fingerprint.String()).Str("Target", string(target.Target)).Int64("Born", target.Born).
+		Int("Crashes", e.Crashes).Str("Check", shownBy).Msg("target ended while it ran the request")
 }
 
 // isBrokenConnection reports whether an error means that the other end refuses
@@ -99,54 +140,6 @@
 	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, unix.ECONNREFUSED, unix.ECONNRESET, unix.EPIPE)
 }
 
-// endVerdict is what a check of a target shows after an attempt without an answer.
-type endVerdict int
-
-//go:generate go tool stringer -type=endVerdict -linecomment -output=verdict_string.go
-
-const (
-	// endNotChecked means that the target was not checked.
-	endNotChecked endVerdict = iota // not checked
-	// endBusy means that no connection was free for the check.
-	endBusy // no free connection
-	// endSilent means that the target does not respond: it has ended, or is cut off.
-	endSilent // silent
-	// endRefuted means that the target responds.
-	endRefuted // alive
-	// endConfirmed means that the target has ended.
-	endConfirmed // ended
-)
-
-// checkEnd checks whether a target whose connection broke off has ended: it takes no
-// connection any more, breaks off each one, or another target has its address. A target
-// that doesn't respond in time may be cut off, and one that responds, in whichever way,
-// breaks off some requests only. The check counts towards the limit on health checks, but
-// is made also if that is used up: there is at most one for an attempt.
-func (g *Gateway) checkEnd(s *service, t *placer.Target) endVerdict {
-	s.probeLimiter.Take(1, time.Now())
-	conn, err := g.probe(s, t)
-	switch {
-	case err == nil:
-		conn.Release()
-		return endRefuted
-	case isBrokenConnection(err), errors.Is(err, errOtherTarget):
-		return endConfirmed
-	case errors.Is(err, transporter.ErrBusy):
-		return endBusy
-	case isSilence(err):
-		return endSilent
-	default:
-		return endRefuted
-	}
-}
-
-// isSilence reports whether an error means that the other end has not responded in time,
-// or can't be reached.
-func isSilence(err error) bool {
-	var netErr net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr)
-}
-
 // spreadCrashes sends the messages about requests that crash targets that are due.
 func (g *Gateway) spreadCrashes(ctx context.Context, now time.Time) {
 	home, all := g.isolator.News(now)
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -82,7 +82,7 @@
 		return
 	}
 	if outcome != "served" {
-		e = e.Str("Fingerprint", c.fingerprint().String())
+		e = e.Str("Fingerprint", c.fingerprints()[0].String())
 	}
 	attempts := zerolog.Arr()
 	for _, a := range c.attempts {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,7 +12,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"savoryroad.dev/isolator"
 	"savoryroad.dev/platform"
 	"savoryroad.dev/transporter"
 )
@@ -90,7 +89,7 @@
 		g: g, route: route, service: snap.services[route.Next()], request: request, arrived: arrived, deadline: deadline,
 		version: snap.router.Config().Version, caller: callerAddr(r.RemoteAddr),
 	}
-	c.fingerprint = sync.OnceValue(func() isolator.Fingerprint { return fingerprint(c.caller, request) })
+	c.fingerprints = sync.OnceValue(func() fingerprints { return newFingerprints(c.caller, request) })
 	result := c.run(r.Context())
 	c.report(result, r.Context().Err() != nil)
 	g.writeResult(w, r, c, result)
--- a/gateway/verdict_string.go
+++ b/gateway/verdict_string.go
@@ -12,12 +12,13 @@
 	_ = x[endBusy-1]
 	_ = x[endSilent-2]
 	_ = x[endRefuted-3]
-	_ = x[endConfirmed-4]
+	_ = x[endReset-4]
+	_ = x[endConfirmed-5]
 }
 
-const _endVerdict_name = "not checkedno free connectionsilentaliveended"
+const _endVerdict_name = "not checkedno free connectionsilentaliveresetended"
 
-var _endVerdict_index = [...]uint8{0, 11, 29, 35, 40, 45}
+var _endVerdict_index = [...]uint8{0, 11, 29, 35, 40, 45, 50}
 
 func (i endVerdict) String() string {
 	idx := int(i) - 0
--- a/isolator/registry.go
+++ b/isolator/registry.go
@@ -26,6 +26,10 @@
 //   - An answer shows that a request is harmless. It voids the crashes before it and those
 //     that follow within vouchTime: when many targets end at once, a request that is sent
 //     often loses its connection to several of them.
+//   - A target that doesn't respond after a request may have ended, or be cut off. The
+//     entry and the home entries check it until they know. Until then it counts, but only
+//     while the request would otherwise go to one target after the other: it is refused
+//     for provisionalBlock at a time.
 const (
 	// CrashLimit is the number of targets that a request ends before it is blocked.
 	CrashLimit = 3
@@ -37,6 +41,9 @@
 	firstBlock  = 10 * time.Minute
 	blockGrowth = 8
 	maxBlock    = 24 * time.Hour
+	// provisionalBlock is how long a request is refused at a time while it isn't known
+	// whether the targets that it was sent to have ended.
+	provisionalBlock = 1 * time.Second
 	// suspectTTL is how long after its latest crash a case is kept that isn't blocked,
 	// and blockedTTL one that was.
 	suspectTTL = 10 * time.Minute
@@ -82,6 +89,20 @@
 	// don't count.
 	Answer      uint64        `cbor:"2,keyasint,omitempty"`
 	AnsweredAge time.Duration `cbor:"3,keyasint,omitempty"`
+	// Open holds the targets that have not answered the request, and of which it isn't
+	// known whether they have ended.
+	Open []OpenFate `cbor:"4,keyasint,omitempty"`
+}
+
+// OpenFate is what is known of a target that has not answered a request.
+type OpenFate struct {
+	Target loader.TargetName `cbor:"0,keyasint"`
+	// Born is the start of the target's process, as a Unix time in milliseconds.
+	Born int64 `cbor:"1,keyasint,omitempty"`
+	// Age is the time since the request ended without an answer.
+	Age time.Duration `cbor:"2,keyasint,omitempty"`
+	// Alive is set if the target has responded since. Otherwise it is silent.
+	Alive bool `cbor:"3,keyasint,omitempty"`
 }
 
 // News is a message about cases.
@@ -96,46 +117,23 @@
 	Ask    bool `cbor:"3,keyasint,omitempty"`
 }
 
-// crash is a Crash at a point in time.
-type crash struct {
-	target loader.TargetName
-	born   int64
-	at     time.Time
-}
-
 // answer is an answer to a request.
 type answer struct {
 	fingerprint Fingerprint
 	at          time.Time
 }
 
-// record is the state of a case.
-type record struct {
-	// crashes are in order of their times, at most maxCrashes.
-	crashes []crash
-	// answer identifies the latest answer, and answeredAt is its time; 0 and zero if
-	// there was none. All crashes are later than vouchTime after it. An answer that is
-	// heard again keeps its time, which would otherwise move on with each message.
-	answer     uint64
-	answeredAt time.Time
-	// untold is set if something has changed that the home entries have not been told,
-	// and unspread if something has that has not been broadcast.
-	untold, unspread bool
-	// unsaved is set if the case has been blocked by a crash that this entry has
-	// observed or was told directly.
-	unsaved bool
-	// refreshAt is when the case is broadcast again.
-	refreshAt time.Time
-}
-
 // Registry holds the cases of requests that crash targets. It is safe for concurrent use.
 type Registry struct {
 	random func() float64
-	// suspects is the number of cases with crashes, which is read without the lock.
-	suspects atomic.Int64
+	// suspects is the number of cases that may make a difference, and watching that of
+	// targets of an open fate. They are read without the lock.
+	suspects, watching atomic.Int64
 
 	mu      sync.Mutex
 	records map[Fingerprint]*record
+	// watched holds the targets of an open fate, with the cases that wait for it.
+	watched map[Incarnation]*watch
 	// answers holds the latest answers to requests, at the place that their fingerprint
 	// determines.
 	answers [maxAnswers]answer
@@ -146,14 +144,14 @@
 
 // NewRegistry returns an empty registry. The random function returns a number from 0 to 1.
 func NewRegistry(random func() float64) *Registry {
-	return &Registry{random: random, records: map[Fingerprint]*record{}}
+	return &Registry{random: random, records: map[Fingerprint]*record{}, watched: map[Incarnation]*watch{}}
 }
 
-// HasSuspects reports whether any request is known to have crashed a target. It takes no
-// lock.
+// HasSuspects reports whether any request may be blocked. It takes no lock.
 func (r *Registry) HasSuspects() bool { return r.suspects.Load() > 0 }
 
-// Blocked returns for how long a request stays blocked, and false if it isn't.
+// Blocked returns for how long a request stays blocked, and false if it isn't. An entry that
+// refuses a request because of silent targets checks these targets, too.
 func (r *Registry) Blocked(f Fingerprint, now time.Time) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -161,12 +159,18 @@
 	if !ok {
 		return 0, false
 	}
-	left := c.blockedUntil().Sub(now)
-	return left, left > 0
+	if left := c.blockedUntil().Sub(now); left > 0 {
+		return left, true
+	}
+	if n := c.count(); n < CrashLimit && n+c.silent() >= CrashLimit {
+		c.claim()
+		return provisionalBlock, true
+	}
+	return 0, false
 }
 
 // Crashed records that a target ended while it ran a request, and returns the number of
-// crashes that are known of the request.
+// crashes that count against the request.
 func (r *Registry) Crashed(f Fingerprint, target loader.TargetName, born int64, now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -174,8 +178,8 @@
 	if c.add(crash{target, born, now}) {
 		c.changed()
 	}
-	r.count()
-	return len(c.crashes)
+	r.settle(f, c)
+	return c.count()
 }
 
 // Answered records that a target has answered a request.
@@ -184,13 +188,13 @@
 	defer r.mu.Unlock()
 	r.answers[f%maxAnswers] = answer{f, now}
 	c, ok := r.records[f]
-	if !ok || len(c.crashes) == 0 {
+	if !ok || len(c.crashes) == 0 && len(c.open) == 0 {
 		return
 	}
-	c.unspread = len(c.crashes) >= spreadFrom
+	c.unspread = c.unspread || c.isSpread()
 	c.untold = true
 	c.answered(r.newAnswerID(), now)
-	r.count()
+	r.settle(f, c)
 }
 
 // newAnswerID returns a random number that identifies an answer.
@@ -208,31 +212,47 @@
 		if c.blockedUntil().After(now) != before {
 			changes++
 		}
-		if len(c.crashes) == 0 && c.answer == 0 {
-			delete(r.records, heard.Fingerprint)
-		}
+		r.settle(heard.Fingerprint, c)
 	}
-	r.count()
 	return changes
 }
 
 // hear merges a case that a peer has sent into its record.
 func (r *Registry) hear(c *record, heard Case, direct bool, peers int, now time.Time) {
+	f := heard.Fingerprint
+	peer := record{answer: heard.Answer, answeredAt: now.Add(-heard.AnsweredAge)}
 	if heard.Answer != 0 && heard.AnsweredAge >= 0 {
-		c.answered(heard.Answer, now.Add(-heard.AnsweredAge))
+		c.answered(heard.Answer, peer.answeredAt)
 	}
 	added := false
 	for _, h := range heard.Crashes {
-		if h.Age >= 0 && c.add(crash{h.Target, h.Born, now.Add(-h.Age)}) {
-			added = true
+		k := crash{h.Target, h.Born, now.Add(-h.Age)}
+		if h.Age < 0 {
+			continue
 		}
+		peer.crashes = append(peer.crashes, k)
+		r.unwatch(f, Incarnation{h.Target, h.Born})
+		added = c.add(k) || added
+	}
+	missed := peer.count() > c.count()
+	for _, h := range heard.Open {
+		if h.Age < 0 {
+			continue
+		}
+		o := open{Incarnation: Incarnation{h.Target, h.Born}, at: now.Add(-h.Age), fate: Silent, mine: direct}
+		if h.Alive {
+			o.fate, o.seenAt = Alive, now
+		}
+		added = r.addOpen(f, c, o, now) || added
+		known := c.findOpen(o.Incarnation)
+		missed = missed || c.hasCrash(o.Incarnation) || known != nil && known.fate > o.fate || c.isVouched(o.at) && !peer.isVouched(o.at)
 	}
 	switch {
 	case direct && added:
-		c.unspread = c.unspread || len(c.crashes) >= spreadFrom
-		c.unsaved = c.unsaved || len(c.crashes) >= CrashLimit
-	case len(heard.Crashes) > len(c.crashes) && c.answer != 0 && now.After(c.refreshAt):
-		// The peer has missed the answer.
+		c.unspread = c.unspread || c.isSpread()
+		c.unsaved = c.unsaved || c.count() >= CrashLimit
+	case missed && now.After(c.refreshAt):
+		// The peer has missed an answer, or what became of a target.
 		c.unspread = true
 	case !direct && len(heard.Crashes) >= len(c.crashes):
 		c.refreshAt = now.Add(refreshInterval + takeoverDelay + time.Duration(r.random()*float64(peers)*float64(jitterPerPeer)))
@@ -251,7 +271,7 @@
 			home = append(home, c.encode(f, now))
 			c.untold = false
 		}
-		due := c.unspread || mayRefresh && len(c.crashes) >= spreadFrom && !now.Before(c.refreshAt)
+		due := c.unspread || mayRefresh && c.isSpread() && !now.Before(c.refreshAt)
 		if !due || len(all.Cases) >= MaxCasesPerMessage {
 			continue
 		}
@@ -270,7 +290,7 @@
 	defer r.mu.Unlock()
 	var cases []Case
 	for f, c := range r.records {
-		if len(c.crashes) >= spreadFrom {
+		if c.isSpread() {
 			cases = append(cases, c.encode(f, now))
 		}
 	}
@@ -307,6 +327,31 @@
 	return c
 }
 
+// settle updates the number of suspects after a change of a case, which it removes if it
+// holds nothing.
+func (r *Registry) settle(f Fingerprint, c *record) {
+	if len(c.crashes) == 0 && len(c.open) == 0 && c.answer == 0 {
+		r.remove(f, c)
+		return
+	}
+	if is := c.isSuspect(); is != c.counted {
+		c.counted = is
+		r.suspects.Add(map[bool]int64{true: 1, false: -1}[is])
+	}
+}
+
+// remove removes a case.
+func (r *Registry) remove(f Fingerprint, c *record) {
+	for _, o := range c.open {
+		r.unwatch(f, o.Incarnation)
+	}
+	if c.counted {
+		c.counted = false
+		r.suspects.Add(-1)
+	}
+	delete(r.records, f)
+}
+
 // makeRoom removes the case that is the least loss if there are maxCases: the one with
 // the fewest crashes, and of those the oldest.
 func (r *Registry) makeRoom() {
@@ -320,106 +365,35 @@
 			least, found = f, c
 		}
 	}
-	delete(r.records, least)
+	r.remove(least, found)
 }
 
-// expire removes the cases that are too old to count.
+// expire removes the cases that are too old to count, and targets that are no longer
+// watched.
 func (r *Registry) expire(now time.Time) {
 	if now.Sub(r.expiredAt) < expiryInterval {
 		return
 	}
 	r.expiredAt = now
 	for f, c := range r.records {
+		c.open = slices.DeleteFunc(c.open, func(o open) bool { return o.isStale(now) })
 		ttl := suspectTTL
-		if len(c.crashes) >= CrashLimit {
+		if c.count() >= CrashLimit {
 			ttl = blockedTTL
 		}
 		if now.Sub(c.latest()) > ttl {
-			delete(r.records, f)
+			r.remove(f, c)
+			continue
 		}
+		r.settle(f, c)
 	}
-	r.count()
-}
-
-// count updates the number of suspects.
-func (r *Registry) count() {
-	n := 0
-	for _, c := range r.records {
-		if len(c.crashes) > 0 {
-			n++
+	for target, w := range r.watched {
+		for f := range w.cases {
+			if c := r.records[f]; c == nil || c.findOpen(target) == nil {
+				r.unwatch(f, target)
+			}
 		}
 	}
-	r.suspects.Store(int64(n))
-}
-
-// add adds a crash unless it is known or from before an answer.
-func (c *record) add(added crash) bool {
-	known := slices.ContainsFunc(c.crashes, func(k crash) bool { return k.target == added.target && k.born == added.born })
-	if known || c.isVoid(added) {
-		return false
-	}
-	c.crashes = append(c.crashes, added)
-	slices.SortFunc(c.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
-	if len(c.crashes) > maxCrashes {
-		oldest := c.crashes[0]
-		c.crashes = slices.Delete(c.crashes, 0, 1)
-		return oldest != added
-	}
-	return true
-}
-
-// isVoid reports whether an answer voids a crash.
-func (c *record) isVoid(k crash) bool {
-	return c.answer != 0 && !k.at.After(c.answeredAt.Add(vouchTime))
-}
-
-// changed notes that this entry has observed a crash.
-func (c *record) changed() {
-	c.untold = true
-	c.unspread = c.unspread || len(c.crashes) >= spreadFrom
-	c.unsaved = c.unsaved || len(c.crashes) >= CrashLimit
-}
-
-// answered removes the crashes before an answer.
-func (c *record) answered(id uint64, at time.Time) {
-	if id != c.answer && at.After(c.answeredAt) {
-		c.answer, c.answeredAt = id, at
-	}
-	c.crashes = slices.DeleteFunc(c.crashes, c.isVoid)
-}
-
-// latest returns the time of the latest crash or answer.
-func (c *record) latest() time.Time {
-	if n := len(c.crashes); n > 0 {
-		return c.crashes[n-1].at
-	}
-	return c.answeredAt
-}
-
-// blockedUntil returns the end of the time for which the request is blocked; zero if it
-// never was.
-func (c *record) blockedUntil() time.Time {
-	n := len(c.crashes)
-	if n < CrashLimit {
-		return time.Time{}
-	}
-	d := firstBlock
-	for range n - CrashLimit {
-		d = min(d*blockGrowth, maxBlock)
-	}
-	return c.latest().Add(d)
-}
-
-// encode returns the case for a message.
-func (c *record) encode(f Fingerprint, now time.Time) Case {
-	out := Case{Fingerprint: f}
-	for _, k := range c.crashes {
-		out.Crashes = append(out.Crashes, Crash{Target: k.target, Born: k.born, Age: now.Sub(k.at)})
-	}
-	if c.answer != 0 {
-		out.Answer, out.AnsweredAge = c.answer, now.Sub(c.answeredAt)
-	}
-	return out
 }
 
 // IsExpired reports whether the case is too old to count, also if it was blocked.
--- a/isolator/registry_test.go
+++ b/isolator/registry_test.go
@@ -24,6 +24,55 @@
 	inFlight             []sentNews
 	// ended counts the targets that have crashed.
 	ended int
+	// restarts are the restarts of targets that have ended, of which entries hear that
+	// aren't cut off, and unreachable the targets that one entry doesn't reach.
+	restarts    []restart
+	unreachable []unreachable
+	// scheduled is what happens later.
+	scheduled []scheduled
+}
+
+// restart is the restart of a target at a time.
+type restart struct {
+	target Incarnation
+	at     time.Time
+}
+
+// unreachable is a link of an entry to a target that is cut until a time.
+type unreachable struct {
+	target Incarnation
+	entry  int
+	until  time.Time
+}
+
+// scheduled is something that happens at a time.
+type scheduled struct {
+	at  time.Time
+	run func()
+}
+
+// after schedules something for a time from now.
+func (f *simulatedFleet) after(d time.Duration, run func()) {
+	f.scheduled = append(f.scheduled, scheduled{f.now.Add(d), run})
+}
+
+// checkTargets lets the entries check the targets that they watch.
+func (f *simulatedFleet) checkTargets() {
+	for e, r := range f.entries {
+		for _, restarted := range f.restarts {
+			if !f.now.Before(restarted.at) && !f.isCut(e) {
+				r.Restarted(restarted.target, 2)
+			}
+		}
+		due := r.Due(f.now)
+		for _, link := range f.unreachable {
+			// Targets also respond to checks that are made for other requests.
+			checked := slices.Contains(due, link.target) || f.rand.IntN(simulatedChecks) == 0
+			if checked && !f.isCut(e) && (link.entry != e || !f.now.Before(link.until)) {
+				r.Seen(link.target, f.now, f.now)
+			}
+		}
+	}
 }
 
 // sentNews is a message under way.
@@ -37,6 +86,9 @@
 	simulatedContact = 3 * time.Second
 	simulatedTick    = 50 * time.Millisecond
 	homes            = 3
+	// simulatedChecks is the number of ticks between two health checks that an entry
+	// sends to a target for other requests, on average.
+	simulatedChecks = 40
 )
 
 func newSimulatedFleet(n int, seed uint64, loss float64) *simulatedFleet {
@@ -74,6 +126,16 @@
 func (f *simulatedFleet) advance(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(simulatedTick)
+		due := f.scheduled
+		f.scheduled = nil
+		for _, s := range due {
+			if f.now.Before(s.at) {
+				f.scheduled = append(f.scheduled, s)
+				continue
+			}
+			s.run()
+		}
+		f.checkTargets()
 		arrived := f.inFlight
 		f.inFlight = nil
 		for _, m := range arrived {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -148,6 +148,8 @@
 	leaving bool
 	// pausedUntil is the time until which the target wants no requests of this entry.
 	pausedUntil time.Time
+	// heardAt is when the target last responded to a health check.
+	heardAt time.Time
 	// unhealthy is set if the latest health check reported a failure.
 	unhealthy bool
 	// backoffUntil is when a target that could not be reached may be probed
@@ -260,7 +262,7 @@
 func (s *Service) Report(t *Target, r Report, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.failures, t.unhealthy = 0, r.Ill
+	t.failures, t.unhealthy, t.heardAt = 0, r.Ill, now
 	if r.HasLoad {
 		t.load, t.reportedAt, t.sentSinceReport = r.Load, now, 0
 	}
@@ -274,6 +276,13 @@
 	t.notePause(r.Pause, now)
 }
 
+// HeardAt returns when a target last responded to a health check; zero if it never did.
+func (s *Service) HeardAt(t *Target) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return t.heardAt
+}
+
 // Report is the answer to a health check.
 type Report struct {
 	// Ill is set when the target reports that it is failing or draining.
