Recognise a request that comes from several addresses

What callers saw: a request that ends its targets, sent from four addresses in each of three waves, ended 36 targets on the code before.

Cause: the caller's address was part of the fingerprint, so that each address had its own three targets.

Change: a request has a second fingerprint without the caller. Answers void the crashes of both, so that a path that other callers are served on isn't blocked for all, while the copies of one caller still are. The block for any caller begins with one to two minutes instead of ten, and ends at each entry at another time: the first one that sends the request again finds out for the others.

A harmless request of any caller is unblocked by its first answer, a harmful one is sent once more in two minutes (TestRequestOfAnyCallerIsTriedAgain, 16 simulated entries).

--- a/gateway/fingerprint.go
+++ b/gateway/fingerprint.go
@@ -11,18 +11,20 @@
 )
 
 // fingerprints are the hashes by which a request is recognised when it is sent again under
-// another ID.
-type fingerprints [1]isolator.Fingerprint
+// another ID: by the same caller, and by any caller.
+type fingerprints [2]isolator.Fingerprint
 
 // newFingerprints returns the fingerprints of a request. They cover what the target gets
 // of it: the method, host, URI, length and the part of the body that is buffered.
 func newFingerprints(caller netip.Addr, r transporter.Request) fingerprints {
 	h := xxhash.New()
-	for _, part := range []string{caller.String(), r.Method, r.Host, r.URI, strconv.FormatInt(r.Length, 10)} {
+	for _, part := range []string{r.Method, r.Host, r.URI, strconv.FormatInt(r.Length, 10)} {
 		_, _ = h.WriteString(part + "\n") // a hash accepts all writes
 	}
 	_, _ = h.Write(r.Body)
-	return fingerprints{isolator.Fingerprint(h.Sum64())}
+	ofAny := isolator.Fingerprint(h.Sum64()).OfAnyCaller()
+	_, _ = h.WriteString("\n" + caller.String())
+	return fingerprints{isolator.Fingerprint(h.Sum64()).OfCaller(), ofAny}
 }
 
 // callerAddr returns the IP address of a remote address, without its port. It is invalid
--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -107,7 +107,7 @@
 	}
 	prints := c.fingerprints()
 	g.log.WithLevel(level).Err(reason).Str("Request", c.request.ID).Str("Fingerprint", prints[0].String()).
-		Str("Caller", c.caller.String()).
+		Str("AnyCaller", prints[1].String()).Str("Caller", c.caller.String()).
 		Str("Target", string(t.Name)).Int64("Born", t.Born()).Str("Service", string(c.service.name)).
 		Str("Check", v.String()).Msg("no answer")
 	if v == endConfirmed || v == endReset && isBrokenConnection(reason) {
--- a/isolator/fate.go
+++ b/isolator/fate.go
@@ -94,7 +94,7 @@
 	}
 	added := r.addOpen(f, c, o, now)
 	if added && fate == Silent {
-		c.changed()
+		c.changed(f)
 	}
 	if !added && !known {
 		r.remove(f, c)
@@ -192,10 +192,10 @@
 func (r *Registry) Silenced(target Incarnation, askedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.eachOpen(target, func(_ Fingerprint, c *record, o *open) bool {
+	r.eachOpen(target, func(f Fingerprint, c *record, o *open) bool {
 		if o.fate == Unknown && !o.at.After(askedAt) {
 			o.fate = Silent
-			c.changed()
+			c.changed(f)
 		}
 		return true
 	})
@@ -229,9 +229,9 @@
 		mine := o.mine
 		if c.add(crash{target.Target, target.Born, o.at}) {
 			if mine {
-				c.changed()
+				c.changed(f)
 			}
-			ends = append(ends, End{f, c.count()})
+			ends = append(ends, End{f, c.count(f)})
 		}
 		return false
 	})
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -40,6 +40,18 @@
 // same fingerprint.
 type Fingerprint uint64
 
+// anyCaller is set in the fingerprints of requests of any caller.
+const anyCaller Fingerprint = 1 << 63
+
+// OfCaller returns the fingerprint as one of a request of a certain caller.
+func (f Fingerprint) OfCaller() Fingerprint { return f &^ anyCaller }
+
+// OfAnyCaller returns the fingerprint as one of a request of any caller.
+func (f Fingerprint) OfAnyCaller() Fingerprint { return f | anyCaller }
+
+// isAnyCaller reports whether the fingerprint is one of a request of any caller.
+func (f Fingerprint) isAnyCaller() bool { return f&anyCaller != 0 }
+
 // String formats the fingerprint as a hexadecimal number.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
--- a/isolator/record.go
+++ b/isolator/record.go
@@ -34,6 +34,8 @@
 	unsaved bool
 	// refreshAt is when the case is broadcast again.
 	refreshAt time.Time
+	// jitter is a random number from 0 to 1.
+	jitter float64
 	// counted is set while the case is one of the registry's suspects.
 	counted bool
 }
@@ -86,7 +88,7 @@
 }
 
 // count returns the number of crashes that count against the request.
-func (c *record) count() int {
+func (c *record) count(f Fingerprint) int {
 	vouched := 0
 	for _, k := range c.crashes {
 		if c.isVouched(k.at) {
@@ -119,13 +121,13 @@
 func (c *record) isSuspect() bool { return len(c.crashes) > 0 || c.silent() > 0 }
 
 // isSpread reports whether all entries are told of the case.
-func (c *record) isSpread() bool { return c.count()+c.silent() >= spreadFrom }
+func (c *record) isSpread(f Fingerprint) bool { return c.count(f)+c.silent() >= spreadFrom }
 
 // changed notes that this entry has observed a crash, or that a target is silent.
-func (c *record) changed() {
+func (c *record) changed(f Fingerprint) {
 	c.untold = true
-	c.unspread = c.unspread || c.isSpread()
-	c.unsaved = c.unsaved || c.count() >= CrashLimit
+	c.unspread = c.unspread || c.isSpread(f)
+	c.unsaved = c.unsaved || c.count(f) >= CrashLimit
 }
 
 // answered removes what was before an answer.
@@ -151,12 +153,15 @@
 
 // blockedFor returns how long the request is blocked after its latest crash; 0 if it
 // isn't.
-func (c *record) blockedFor() time.Duration {
-	n := c.count()
+func (c *record) blockedFor(f Fingerprint) time.Duration {
+	n := c.count(f)
 	if n < CrashLimit {
 		return 0
 	}
 	d := firstBlock
+	if f.isAnyCaller() {
+		d = firstBlockAnyCaller
+	}
 	for range n - CrashLimit {
 		d = min(d*blockGrowth, maxBlock)
 	}
@@ -165,11 +170,14 @@
 
 // blockedUntil returns the end of the time for which the request is blocked; zero if it
 // never was.
-func (c *record) blockedUntil() time.Time {
-	d := c.blockedFor()
+func (c *record) blockedUntil(f Fingerprint) time.Time {
+	d := c.blockedFor(f)
 	if d == 0 {
 		return time.Time{}
 	}
+	if f.isAnyCaller() {
+		d = min(d+time.Duration(c.jitter*float64(d)), maxBlock)
+	}
 	return c.crashes[len(c.crashes)-1].at.Add(d)
 }
 
--- a/isolator/registry.go
+++ b/isolator/registry.go
@@ -30,6 +30,9 @@
 //     entry and the home entries check it until they know. Until then it counts, but only
 //     while the request would otherwise go to one target after the other: it is refused
 //     for provisionalBlock at a time.
+//   - A request is known by two fingerprints, with its caller and without. The first one
+//     finds a request that only its caller's copies of are harmful, and the second one
+//     a caller that has several addresses.
 const (
 	// CrashLimit is the number of targets that a request ends before it is blocked.
 	CrashLimit = 3
@@ -41,6 +44,10 @@
 	firstBlock  = 10 * time.Minute
 	blockGrowth = 8
 	maxBlock    = 24 * time.Hour
+	// firstBlockAnyCaller is the same for a request of any caller, which harms more
+	// callers if it is harmless. It ends at each entry at another time, up to as much
+	// later, so that the first entry that sends the request again finds out for the others.
+	firstBlockAnyCaller = 1 * time.Minute
 	// provisionalBlock is how long a request is refused at a time while it isn't known
 	// whether the targets that it was sent to have ended.
 	provisionalBlock = 1 * time.Second
@@ -159,10 +166,10 @@
 	if !ok {
 		return 0, false
 	}
-	if left := c.blockedUntil().Sub(now); left > 0 {
+	if left := c.blockedUntil(f).Sub(now); left > 0 {
 		return left, true
 	}
-	if n := c.count(); n < CrashLimit && n+c.silent() >= CrashLimit {
+	if n := c.count(f); n < CrashLimit && n+c.silent() >= CrashLimit {
 		c.claim()
 		return provisionalBlock, true
 	}
@@ -176,10 +183,10 @@
 	defer r.mu.Unlock()
 	c := r.record(f)
 	if c.add(crash{target, born, now}) {
-		c.changed()
+		c.changed(f)
 	}
 	r.settle(f, c)
-	return c.count()
+	return c.count(f)
 }
 
 // Answered records that a target has answered a request.
@@ -191,7 +198,7 @@
 	if !ok || len(c.crashes) == 0 && len(c.open) == 0 {
 		return
 	}
-	c.unspread = c.unspread || c.isSpread()
+	c.unspread = c.unspread || c.isSpread(f)
 	c.untold = true
 	c.answered(r.newAnswerID(), now)
 	r.settle(f, c)
@@ -207,9 +214,9 @@
 	defer r.mu.Unlock()
 	for _, heard := range n.Cases {
 		c := r.record(heard.Fingerprint)
-		before := c.blockedUntil().After(now)
+		before := c.blockedUntil(heard.Fingerprint).After(now)
 		r.hear(c, heard, n.Direct, peers, now)
-		if c.blockedUntil().After(now) != before {
+		if c.blockedUntil(heard.Fingerprint).After(now) != before {
 			changes++
 		}
 		r.settle(heard.Fingerprint, c)
@@ -234,7 +241,7 @@
 		r.unwatch(f, Incarnation{h.Target, h.Born})
 		added = c.add(k) || added
 	}
-	missed := peer.count() > c.count()
+	missed := peer.count(f) > c.count(f)
 	for _, h := range heard.Open {
 		if h.Age < 0 {
 			continue
@@ -249,8 +256,8 @@
 	}
 	switch {
 	case direct && added:
-		c.unspread = c.unspread || c.isSpread()
-		c.unsaved = c.unsaved || c.count() >= CrashLimit
+		c.unspread = c.unspread || c.isSpread(f)
+		c.unsaved = c.unsaved || c.count(f) >= CrashLimit
 	case missed && now.After(c.refreshAt):
 		// The peer has missed an answer, or what became of a target.
 		c.unspread = true
@@ -271,7 +278,7 @@
 			home = append(home, c.encode(f, now))
 			c.untold = false
 		}
-		due := c.unspread || mayRefresh && c.isSpread() && !now.Before(c.refreshAt)
+		due := c.unspread || mayRefresh && c.isSpread(f) && !now.Before(c.refreshAt)
 		if !due || len(all.Cases) >= MaxCasesPerMessage {
 			continue
 		}
@@ -290,7 +297,7 @@
 	defer r.mu.Unlock()
 	var cases []Case
 	for f, c := range r.records {
-		if c.isSpread() {
+		if c.isSpread(f) {
 			cases = append(cases, c.encode(f, now))
 		}
 	}
@@ -318,7 +325,7 @@
 	c, ok := r.records[f]
 	if !ok {
 		r.makeRoom()
-		c = &record{}
+		c = &record{jitter: r.random()}
 		r.records[f] = c
 	}
 	if a := r.answers[f%maxAnswers]; a.fingerprint == f && a.at.After(c.answeredAt) {
@@ -378,7 +385,7 @@
 	for f, c := range r.records {
 		c.open = slices.DeleteFunc(c.open, func(o open) bool { return o.isStale(now) })
 		ttl := suspectTTL
-		if c.count() >= CrashLimit {
+		if c.count(f) >= CrashLimit {
 			ttl = blockedTTL
 		}
 		if now.Sub(c.latest()) > ttl {
--- a/isolator/registry_test.go
+++ b/isolator/registry_test.go
@@ -149,7 +149,7 @@
 			home, all := r.News(f.now)
 			for _, c := range home {
 				for i := range min(homes, len(f.entries)) {
-					f.send(e, (int(c.Fingerprint)+i)%len(f.entries), News{Cases: []Case{c}, Direct: true})
+					f.send(e, int((uint64(c.Fingerprint)+uint64(i))%uint64(len(f.entries))), News{Cases: []Case{c}, Direct: true})
 				}
 			}
 			if len(all.Cases) > 0 {
@@ -404,3 +404,59 @@
 		}
 	}
 }
+
+// A request that is blocked whoever sends it is sent again by one entry after the other. If
+// it is answered, all entries send it; if it ends its target again, they don't.
+func TestRequestOfAnyCallerIsTriedAgain(t *testing.T) {
+	const fingerprint = Fingerprint(3) | anyCaller
+	for _, harmful := range []bool{false, true} {
+		f := newSimulatedFleet(16, 6, 0)
+		for n := range CrashLimit {
+			f.entries[n].Crashed(fingerprint, target(n).Target, 1, f.now)
+		}
+		f.advance(time.Second)
+		if n, _ := f.blockedAt(fingerprint); n != len(f.entries) {
+			t.Fatalf("%d entries block the request", n)
+		}
+		tries := 0
+		for range int(2 * firstBlockAnyCaller / (10 * simulatedTick)) {
+			f.advance(10 * simulatedTick)
+			e := f.rand.IntN(len(f.entries))
+			if _, blocked := f.entries[e].Blocked(fingerprint, f.now); blocked {
+				continue
+			}
+			tries++
+			if harmful {
+				f.entries[e].Crashed(fingerprint, target(100+tries).Target, 1, f.now)
+			} else {
+				f.entries[e].Answered(fingerprint, f.now)
+			}
+		}
+		n, _ := f.blockedAt(fingerprint)
+		if harmful && (tries != 1 || n != len(f.entries)) {
+			t.Errorf("a harmful request was sent %d times more, %d entries block it", tries, n)
+		}
+		if !harmful && n > 0 {
+			t.Errorf("%d entries block a harmless request", n)
+		}
+	}
+}
+
+// The answers to one caller don't show that the copies of another are harmless.
+func TestAnswersOfAnotherCallerDoNotCount(t *testing.T) {
+	f := newSimulatedFleet(3, 6, 0)
+	const ofCaller, ofAny = Fingerprint(3), Fingerprint(3) | anyCaller
+	for n := range CrashLimit {
+		f.entries[n].Crashed(ofCaller, target(n).Target, 1, f.now)
+		f.entries[n].Crashed(ofAny, target(n).Target, 1, f.now)
+		f.entries[1].Answered(ofAny, f.now)
+		f.advance(simulatedTick)
+	}
+	f.advance(time.Second)
+	if n, _ := f.blockedAt(ofAny); n > 0 {
+		t.Errorf("%d entries block all callers", n)
+	}
+	if n, _ := f.blockedAt(ofCaller); n != len(f.entries) {
+		t.Errorf("%d entries block the caller", n)
+	}
+}
