Count targets that end during their answers

What callers saw: a download under which each target ended was sent on without end, each time with a truncated answer.

Cause: an answer above 1 MiB counted as an answer, which voids crashes, when its head had arrived; an end during its body was logged only. The class: success was reported before the end of what it stands for.

Change: a streamed answer counts once it is complete; one that breaks off is treated as an attempt without an answer.

--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -57,7 +57,7 @@
 // noteOutcome tells the isolator how an attempt has ended at its target.
 func (c *call) noteOutcome(r attemptResult) {
 	switch {
-	case r.success():
+	case r.success() && r.answer.Rest == nil:
 		c.noteAnswered(r.answer.Status)
 	case errors.Is(r.err, transporter.ErrNoResponse):
 		c.noteUnanswered(r.target, r.err)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -238,8 +238,12 @@
 		defer stop()
 		rest := &sourceReader{source: a.Rest}
 		_, err = io.Copy(w, rest)
+		if rest.err == nil && err == nil {
+			c.noteAnswered(a.Status)
+		}
 		if rest.err != nil {
 			c.service.placer.BreakOff(v.target, time.Now())
+			c.noteUnanswered(v.target, rest.err)
 			g.log.Warn().Err(rest.err).Str("Request", c.request.ID).Str("Target", string(v.target.Name)).Msg("target broke off its answer")
 		}
 	}
--- a/gateway/silent_end_test.go
+++ b/gateway/silent_end_test.go
@@ -123,3 +123,25 @@
 		}
 	}
 }
+
+// A request under which targets end while they answer it is blocked like one under which
+// they end before, though the answer has begun.
+func TestTargetsEndDuringTheirAnswers(t *testing.T) {
+	const size = 1500 << 10 // more than an entry buffers
+	f := newFleet(t, 3, 8)
+	ended := 0
+	for _, target := range f.targets {
+		target.SetBehaviour(func(*http.Request) standin.Behaviour { return standin.CrashMidway })
+	}
+	var last reply
+	for i := 0; i < 30 && last.status != http.StatusServiceUnavailable; i++ {
+		last = f.call(f.entries[i%len(f.entries)], http.MethodGet, fmt.Sprint("/safe/x?", standin.SizeParameter, "=", size), fmt.Sprint("m", i), nil)
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, target := range f.targets {
+		ended += target.Crashes()
+	}
+	if last.status != http.StatusServiceUnavailable {
+		t.Errorf("%d targets ended, and the request got status %d", ended, last.status)
+	}
+}
