Limit the crashes that an earlier answer excuses

What callers saw: with a new version of the targets, under which a request ends them that was answered just before, targets ended for 10 s.

Cause: all crashes within 10 s after an answer were void, however many.

Change: of those, three are excused; further ones count. More than that in one go, without an answer in between, a harmless request of one caller doesn't meet, even if many targets end at once. Requests of any caller, which may be sent many times a second, stay excused for the whole time.

The tests of requests that are sent often and break off with many targets pass unchanged.

--- a/isolator/record.go
+++ b/isolator/record.go
@@ -96,7 +96,10 @@
 		}
 	}
 	n := len(c.crashes) - vouched
-	return n
+	if f.isAnyCaller() {
+		return n
+	}
+	return max(n, n+vouched-vouchedCrashes)
 }
 
 // silent returns the number of targets that were silent after the request.
--- a/isolator/registry.go
+++ b/isolator/registry.go
@@ -23,9 +23,9 @@
 //     takes over after a random delay.
 //   - From CrashLimit crashes on, the request is blocked at all entries, for longer with
 //     each further crash.
-//   - An answer shows that a request is harmless. It voids the crashes before it and those
-//     that follow within vouchTime: when many targets end at once, a request that is sent
-//     often loses its connection to several of them.
+//   - An answer shows that a request is harmless. It voids the crashes before it, and of
+//     those that follow within vouchTime it allows for vouchedCrashes: when many targets
+//     end at once, a request that is sent often loses its connection to several of them.
 //   - A target that doesn't respond after a request may have ended, or be cut off. The
 //     entry and the home entries check it until they know. Until then it counts, but only
 //     while the request would otherwise go to one target after the other: it is refused
@@ -55,10 +55,12 @@
 	// and blockedTTL one that was.
 	suspectTTL = 10 * time.Minute
 	blockedTTL = 2 * maxBlock
-	// vouchTime is how long after an answer crashes aren't held against a request, and
-	// maxAnswers the number of requests whose latest answer an entry remembers.
-	vouchTime  = 10 * time.Second
-	maxAnswers = 1 << 13
+	// vouchTime is how long after an answer crashes aren't held against a request, unless
+	// they are more than vouchedCrashes without a further answer. MaxAnswers is the number
+	// of requests whose latest answer an entry remembers.
+	vouchTime      = 10 * time.Second
+	vouchedCrashes = 3
+	maxAnswers     = 1 << 13
 	// maxCrashes is the number of crashes that are kept of a case, and maxCases the
 	// number of cases that are kept.
 	maxCrashes = 8
--- a/isolator/registry_test.go
+++ b/isolator/registry_test.go
@@ -460,3 +460,18 @@
 		t.Errorf("%d entries block the caller", n)
 	}
 }
+
+// A request that was answered before a new version of its targets ends under it is blocked
+// before the time is over for which the answer counts.
+func TestAnswerExcusesAnyNumberOfCrashes(t *testing.T) {
+	f := newSimulatedFleet(6, 2, 0)
+	f.entries[5].Answered(1, f.now)
+	f.advance(time.Second)
+	for began := f.now; f.now.Sub(began) < simulatedContact; f.advance(2 * simulatedTick) {
+		if f.crash(f.ended%len(f.entries), 1) {
+			continue
+		}
+		return
+	}
+	t.Errorf("%d targets ended, and the request is not blocked", f.ended)
+}
