Test requests that come late in the grace time of a stop

Report: in a planned stop of one entry, requests that came late in the grace time were passed on and cut at its end without an answer.

Finding: it can't happen here. No logic changes.

Change: 16 callers cling to their connections, whatever the answers say of them, through a stop with slow targets that lose some of their answers.

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -200,3 +202,102 @@
 		t.Errorf("%d connections accepted, want %d", n, waiting)
 	}
 }
+
+// clingingCaller sends requests on one connection, whatever the answers say of it, and on
+// another one only when that is closed.
+type clingingCaller struct {
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+// post sends a request without a body to an entry. It returns 0 without a complete answer,
+// and false if no connection could be made.
+func (c *clingingCaller) post(e *entry, path, id string) (status int, connected bool) {
+	if c.conn == nil {
+		conn, err := net.Dial("tcp", e.platform.Listen.String())
+		if err != nil {
+			return 0, false
+		}
+		c.conn, c.r = conn, bufio.NewReader(conn)
+	}
+	resp, err := c.exchange(path, id)
+	if err != nil {
+		c.conn.Close()
+		c.conn = nil
+		return 0, true
+	}
+	return resp.StatusCode, true
+}
+
+func (c *clingingCaller) exchange(path, id string) (*http.Response, error) {
+	if _, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\nRequest-Id: %s\r\nRequest-Deadline: 20000\r\n\r\n", path, id); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp, err
+}
+
+// Callers cling to their connections until the process is gone. A request that comes late
+// in the grace time gets a complete answer if it was passed on to a target, whether that
+// answers in time or not.
+func TestRequestsLateInTheGraceAreCut(t *testing.T) {
+	const callers = 16
+	f := newFleet(t, 0, 4)
+	f.grace, f.drainDelay = 2*time.Second, 600*time.Millisecond
+	f.putConfig(map[string]standin.Route{"long": {
+		Host: "a.example", PathPrefix: "/long/", Kind: "unsafe", Timeout: 20_000, Objective: 2000, Service: "s",
+	}})
+	for i, target := range f.targets {
+		target.SetPace(10 * standin.UsualPace)
+		target.SetBehaviour(func(r *http.Request) standin.Behaviour {
+			if strings.HasSuffix(standin.ID(r), "7") && i%2 == 0 {
+				return standin.Hang
+			}
+			return standin.Serve
+		})
+	}
+	e := f.startOnly()
+	var mu sync.Mutex
+	ran, refusedLate := 0, 0
+	var wg sync.WaitGroup
+	for caller := range callers {
+		wg.Go(func() {
+			var c clingingCaller
+			for i := 0; ; i++ {
+				id := fmt.Sprint("g", caller, "-", i)
+				closing := e.closing.Load()
+				status, connected := c.post(e, []string{"/unsafe/", "/long/"}[i%2], id)
+				mu.Lock()
+				if f.runCount(id) > 0 {
+					ran++
+					if status == 0 {
+						t.Errorf("%s was passed on, but its caller got no answer", id)
+					}
+				}
+				if closing && status == http.StatusServiceUnavailable {
+					refusedLate++
+				}
+				mu.Unlock()
+				select {
+				case <-e.done:
+					return
+				default:
+				}
+				if !connected || status == 0 {
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	e.stop()
+	wg.Wait()
+	t.Logf("%d requests ran, %d were refused late in the grace time", ran, refusedLate)
+	if ran == 0 {
+		t.Error("no request ran")
+	}
+}
