Keep watch of a target that was seen after its caller had left

What callers saw: a request whose callers leave before it ends their targets, and of which no connection breaks off, is sent on, if the targets are back under their names before anyone asks for their registration.

Cause: the first response after the request dropped the target from watch; it may come from the next incarnation. And an answer within 10 s before dropped silent targets for good, though it excuses three crashes only.

Change: a target of an unknown fate that responds stays known as alive for 30 s, so that a restart before that response still counts. Silent targets of one caller's request are kept after an answer, and count under the rule for crashes.

--- a/isolator/fate.go
+++ b/isolator/fate.go
@@ -81,8 +81,7 @@
 }
 
 // Unanswered records that a target has not answered a request that ended at a time, and
-// what is known of its fate by now. A request that was answered shortly before is no
-// suspect.
+// what is known of its fate by now.
 func (r *Registry) Unanswered(f Fingerprint, target Incarnation, fate Fate, at, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -106,7 +105,7 @@
 // addOpen adds a target of an open fate to a case, or what is new of its fate. It reports
 // whether the fate is new.
 func (r *Registry) addOpen(f Fingerprint, c *record, o open, now time.Time) bool {
-	if c.hasCrash(o.Incarnation) || c.isVouched(o.at) {
+	if c.hasCrash(o.Incarnation) || c.isVoid(o.at) || f.isAnyCaller() && c.isVouched(o.at) {
 		return false
 	}
 	if known := c.findOpen(o.Incarnation); known != nil {
@@ -178,13 +177,13 @@
 		if o.at.After(askedAt) {
 			return true
 		}
-		if o.fate == Silent {
+		if o.fate == Silent && o.mine {
+			c.unspread, c.untold = true, true
+		}
+		if o.fate < Alive {
 			o.fate, o.seenAt = Alive, now
-			if o.mine {
-				c.unspread, c.untold = true, true
-			}
 		}
-		return o.fate != Unknown
+		return true
 	})
 }
 
--- a/isolator/fate_test.go
+++ b/isolator/fate_test.go
@@ -84,6 +84,10 @@
 			r.Seen(i, asked.Add(-time.Second), asked.Add(time.Second))
 			r.HasEnded(i)
 		}, 1},
+		{"seen as the next incarnation", func(r *Registry, i Incarnation) {
+			r.Seen(i, asked.Add(2*time.Second), asked.Add(2*time.Second))
+			r.Restarted(i, asked.Add(time.Second).UnixMilli())
+		}, 1},
 		{"silent, then seen, then restarts", func(r *Registry, i Incarnation) {
 			r.Silenced(i, asked.Add(time.Second))
 			r.Seen(i, asked.Add(2*time.Second), asked.Add(2*time.Second))
--- a/isolator/record.go
+++ b/isolator/record.go
@@ -139,7 +139,7 @@
 		c.answer, c.answeredAt = id, at
 	}
 	c.crashes = slices.DeleteFunc(c.crashes, func(k crash) bool { return c.isVoid(k.at) })
-	c.open = slices.DeleteFunc(c.open, func(o open) bool { return c.isVouched(o.at) })
+	c.open = slices.DeleteFunc(c.open, func(o open) bool { return c.isVoid(o.at) })
 }
 
 // latest returns the time of the latest crash, silence or answer.
--- a/isolator/registry_test.go
+++ b/isolator/registry_test.go
@@ -464,14 +464,25 @@
 // A request that was answered before a new version of its targets ends under it is blocked
 // before the time is over for which the answer counts.
 func TestAnswerExcusesAnyNumberOfCrashes(t *testing.T) {
-	f := newSimulatedFleet(6, 2, 0)
-	f.entries[5].Answered(1, f.now)
-	f.advance(time.Second)
-	for began := f.now; f.now.Sub(began) < simulatedContact; f.advance(2 * simulatedTick) {
-		if f.crash(f.ended%len(f.entries), 1) {
-			continue
+	for _, silently := range []bool{false, true} {
+		f := newSimulatedFleet(6, 2, 0)
+		f.entries[5].Answered(1, f.now)
+		f.advance(time.Second)
+		ended, blocked := 0, false
+		for began := f.now; f.now.Sub(began) < simulatedContact && !blocked; f.advance(2 * simulatedTick) {
+			e := ended % len(f.entries)
+			if _, blocked = f.entries[e].Blocked(1, f.now); blocked {
+				break
+			}
+			ended++
+			if silently {
+				f.endSilently(e, 1, target(ended), 250*time.Millisecond, 2*time.Second)
+			} else {
+				f.crash(e, 1)
+			}
+		}
+		if !blocked {
+			t.Errorf("silently %v: %d targets ended, and the request is not blocked", silently, ended)
 		}
-		return
 	}
-	t.Errorf("%d targets ended, and the request is not blocked", f.ended)
 }
