Soak targets that end silently, callers that cling, signals in series

Cause: in the soak all targets that a request ended refused connections at once, for 300 ms; the request came from one address without pause. No caller used a connection after an answer that asks to close it, and no signal came while an entry stopped.

Change: targets end in three ways, for up to 2.5 s; the request comes from four addresses, in waves. As many callers as before cling to a connection until it is closed. Entries get SIGHUP and SIGTERM in series while they stop.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"savoryroad.dev/platform/standin"
@@ -31,6 +33,12 @@
 	}
 }
 
+// bind makes the caller use an address as its source.
+func (c *caller) bind(address netip.Addr) {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: address.AsSlice()}}
+	c.client.Transport = &http.Transport{DisableCompression: true, DialContext: dialer.DialContext}
+}
+
 // runCaller sends random requests to random entries, one at a time, until the
 // context ends.
 func (s *Soaker) runCaller(ctx context.Context) {
@@ -79,17 +87,26 @@
 	} else {
 		req.Body = io.NopCloser(bytes.NewReader(body))
 	}
+	return c.observe(callCtx, p, id, path, method == http.MethodGet, func() int {
+		resp, err := c.client.Do(req)
+		if err != nil {
+			return 0
+		}
+		return c.readResponse(resp, id, path, len(body))
+	})
+}
+
+// observe calls exchange, which sends a request to an entry and returns the status of the
+// response, records the outcome and returns the status.
+func (c *caller) observe(ctx context.Context, p *process, id, path string, safe bool, exchange func() int) int {
 	sentAt := time.Now()
 	incarnation, _, _ := p.state(sentAt)
-	result := outcome{id: id, safe: method == http.MethodGet, entry: p.settings.Name, sentAt: sentAt}
-	resp, err := c.client.Do(req)
-	if err == nil {
-		result.status = c.readResponse(resp, id, path, len(body))
-	}
+	result := outcome{id: id, safe: safe, entry: p.settings.Name, sentAt: sentAt}
+	result.status = exchange()
 	incarnationAfter, stable, terminating := p.state(sentAt)
 	result.streamed, result.endedAt = path == downloadPath, time.Now()
 	result.stable = stable && incarnationAfter == incarnation
-	result.duringStop = terminating && result.stable && callCtx.Err() == nil
+	result.duringStop = terminating && result.stable && ctx.Err() == nil
 	c.s.checker.record(result)
 	return result.status
 }
--- a/soaker/drill.go
+++ b/soaker/drill.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"savoryroad.dev/platform/standin"
@@ -14,10 +16,16 @@
 	// maxRewriteDelay the time in which operators and targets write again.
 	maxCopyAge      = 4 * time.Second
 	maxRewriteDelay = 300 * time.Millisecond
-	// lethalPath is the path of the request that crashes the targets that run it, and
-	// lethalInterval the time between two of its arrivals.
+	// lethalPath is the path of the request that ends the targets that run it. As many
+	// callers as lethalCallers, each with an address of its own, send it at intervals of
+	// lethalInterval, in waves of lethalWave with a pause of up to maxLethalPause.
 	lethalPath     = "/a/lethal"
-	lethalInterval = 80 * time.Millisecond
+	lethalCallers  = 4
+	lethalInterval = 200 * time.Millisecond
+	lethalWave     = 2 * time.Second
+	maxLethalPause = 4 * time.Second
+	// maxDownTime bounds the time for which a target that has ended is silent.
+	maxDownTime = 2500 * time.Millisecond
 	// toleratedCrashes is the number of targets that such a request ends before the
 	// fleet must know it, crashContact the time that it has then, and toleratedRetries
 	// the number of sends after that.
@@ -51,24 +59,46 @@
 	s.faults["store restored"]++
 }
 
-// sendLethal sends a request that crashes the targets that run it to all entries in turn,
+// sendLethal sends a request that ends the targets that run it to random entries, in waves,
 // until the context ends.
 func (s *Soaker) sendLethal(ctx context.Context) {
-	c := newCaller(s)
-	defer c.client.CloseIdleConnections()
-	for i := 0; ctx.Err() == nil; i++ {
-		c.get(ctx, s.processes[i%len(s.processes)], lethalPath)
-		sleep(ctx, lethalInterval)
+	// A source of its own keeps the faults of a seed the same.
+	random := rand.New(rand.NewPCG(s.options.Seed, 8))
+	for ctx.Err() == nil {
+		wave, endWave := context.WithTimeout(ctx, lethalWave)
+		var callers sync.WaitGroup
+		for i := range lethalCallers {
+			c := newCaller(s)
+			c.bind(lethalAddress(i))
+			callers.Go(func() {
+				defer c.client.CloseIdleConnections()
+				for wave.Err() == nil {
+					c.get(wave, s.processes[c.rand.IntN(len(s.processes))], lethalPath)
+					sleep(wave, lethalInterval)
+				}
+			})
+		}
+		callers.Wait()
+		endWave()
+		sleep(ctx, time.Duration(random.Int64N(int64(maxLethalPause))))
 	}
 }
 
-// crash lets a target crash under a request, and registers it when it is back.
-func (s *Soaker) crash(t *target, id string) {
+// lethalAddress returns the address of a caller of sendLethal.
+func lethalAddress(i int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 1, byte(1 + i)}) }
+
+// crash decides how a target ends under a request, and registers it when it is back.
+func (s *Soaker) crash(t *target, id string) (standin.End, time.Duration) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.crashes = append(s.crashes, standin.Arrival{ID: id, At: time.Now()})
-	s.mu.Unlock()
+	end := standin.End(s.crashRand.IntN(int(standin.Dark) + 1))
+	down := standin.CrashTime
+	if end != standin.Refuse {
+		down += time.Duration(s.crashRand.Int64N(int64(maxDownTime - down)))
+	}
 	over := t.disturb()
-	time.AfterFunc(standin.CrashTime, func() {
+	time.AfterFunc(down, func() {
 		over()
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -76,6 +106,7 @@
 			s.register(t, "ready", 0)
 		}
 	})
+	return end, down
 }
 
 // checkCrashes checks that entries that were stable sent a request that crashes targets
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -62,6 +62,17 @@
 		f.process.markUnstable(settleTime)
 		f.process.signal(syscall.SIGCONT)
 	}},
+	{"signals in series", 2, func(_ *Soaker, f faultParams) {
+		// Further signals arrive while the entry stops.
+		var stop sync.WaitGroup
+		stop.Go(f.process.terminate)
+		for range 1 + f.variant%4 {
+			time.Sleep(f.duration / 8)
+			f.process.signalWhileStopping(syscall.SIGHUP)
+			f.process.signalWhileStopping(syscall.SIGTERM)
+		}
+		stop.Wait()
+	}},
 	{"settings reloaded", 2, func(s *Soaker, f faultParams) {
 		if err := standin.WriteSettings(f.process.settingsFile(), f.process.settings); err != nil {
 			s.checker.addViolation("soak", "write the settings of an entry: %v", err)
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -137,6 +137,15 @@
 	_ = p.cmd.Process.Signal(s) // fails if the process has just exited
 }
 
+// signalWhileStopping sends a signal to the process if it is stopping.
+func (p *process) signalWhileStopping(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.terminating {
+		_ = p.cmd.Process.Signal(s) // fails if the process has just exited
+	}
+}
+
 // terminate sends a SIGTERM and waits until the process exits. It kills the
 // process after gracePeriod.
 func (p *process) terminate() {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -103,8 +103,10 @@
 	// configuredAt the time of its publication.
 	configVersion int
 	configuredAt  time.Time
-	// crashes holds the requests under which targets have crashed.
-	crashes []standin.Arrival
+	// crashes holds the requests under which targets have crashed, and crashRand decides
+	// how.
+	crashes   []standin.Arrival
+	crashRand *rand.Rand
 	// storeUnstableUntil is the time before which time bounds that depend on the
 	// store are not checked, because of a fault.
 	storeUnstableUntil time.Time
@@ -123,6 +125,7 @@
 	var wg sync.WaitGroup
 	for range s.options.Callers {
 		wg.Go(func() { s.runCaller(callCtx) })
+		wg.Go(func() { s.runClinger(callCtx) })
 	}
 	wg.Go(func() { s.runProbes(callCtx) })
 	limitCtx, endLimits := context.WithCancel(ctx)
@@ -170,7 +173,7 @@
 	if o.Harm == 0 {
 		o.Harm = 12 * time.Second
 	}
-	return &Soaker{options: o, rand: rand.New(rand.NewPCG(o.Seed, 5)), checker: newChecker(), store: standin.NewStore(), faults: map[string]int{}}
+	return &Soaker{options: o, rand: rand.New(rand.NewPCG(o.Seed, 5)), crashRand: rand.New(rand.NewPCG(o.Seed, 9)), checker: newChecker(), store: standin.NewStore(), faults: map[string]int{}}
 }
 
 // startFleet starts the store, the targets and the entries, and waits until every
--- a/soaker/target.go
+++ b/soaker/target.go
@@ -141,7 +141,7 @@
 		t.coldUntil = time.Now().Add(cold)
 		t.SetCold(t.coldUntil)
 	}
-	t.SetLethal(lethalPath, func(id string) { s.crash(t, id) })
+	t.SetLethal(lethalPath, func(id string) (standin.End, time.Duration) { return s.crash(t, id) })
 	s.targets, s.activeTargets = append(s.targets, t), append(s.activeTargets, t)
 	s.register(t, "ready", cold)
 	return nil
