Tell peers only of what may count against a request

What callers saw: nothing. Found by reading the change.

Change: an answer is told only of cases that peers have heard of. Ends of which an entry only hears are logged at the level Debug. Cases in which nothing counts get half of the room.

--- a/gateway/end.go
+++ b/gateway/end.go
@@ -97,9 +97,7 @@
 		if born <= w.Born {
 			continue
 		}
-		for _, e := range g.isolator.Restarted(w, born) {
-			g.logEnd(w, e, "restarted")
-		}
+		g.noteEnds(w, g.isolator.Restarted(w, born), "restarted")
 	}
 	for _, due := range g.isolator.Due(now) {
 		if t, ok := g.model.Targets[due.Target]; ok && t.Born == due.Born {
@@ -108,6 +106,18 @@
 	}
 }
 
+// noteEnds logs and counts the requests under which a target is now known to have ended.
+func (g *Gateway) noteEnds(target isolator.Incarnation, ends []isolator.End, shownBy string) {
+	mine := false
+	for _, e := range ends {
+		g.logEnd(target, e, shownBy)
+		mine = mine || e.Mine
+	}
+	if mine {
+		g.crashes.Inc(1)
+	}
+}
+
 // latestAt returns the latest start of a registered target at each address.
 func (g *Gateway) latestAt() map[netip.AddrPort]int64 {
 	latest := make(map[netip.AddrPort]int64, len(g.model.Targets))
@@ -130,10 +140,7 @@
 	case endSilent:
 		g.isolator.Silenced(target, askedAt)
 	case endConfirmed:
-		for _, e := range g.isolator.HasEnded(target) {
-			g.crashes.Inc(1)
-			g.logEnd(target, e, v.String())
-		}
+		g.noteEnds(target, g.isolator.HasEnded(target), v.String())
 	}
 }
 
--- a/gateway/end_test.go
+++ b/gateway/end_test.go
@@ -51,7 +51,7 @@
 	f := newFleet(t, 2, 4)
 	for _, target := range f.targets {
 		target.Work = 500 * time.Millisecond
-		target.SetBehaviour(func(r *http.Request) standin.Behaviour {
+		target.SetBehaviour(func(*http.Request) standin.Behaviour {
 			time.AfterFunc(60*time.Millisecond, func() {
 				target.EndAs(standin.Mute, down)
 				time.AfterFunc(down, func() { f.store.Register(target, "s", "home", target.Address(), "ready", 1, 0) })
--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -117,7 +117,7 @@
 		switch {
 		case v == endConfirmed, v == endReset && isBrokenConnection(reason):
 			n := g.isolator.Crashed(f, target.Target, target.Born, at)
-			g.logEnd(target, isolator.End{Fingerprint: f, Crashes: n}, v.String())
+			g.logEnd(target, isolator.End{Fingerprint: f, Crashes: n, Mine: true}, v.String())
 		case v == endRefuted:
 			g.isolator.Unanswered(f, target, isolator.Alive, at, time.Now())
 		case v == endSilent:
@@ -130,7 +130,11 @@
 
 // logEnd logs that a target has ended under a request, and what has shown it.
 func (g *Gateway) logEnd(target isolator.Incarnation, e isolator.End, shownBy string) {
-	g.log.Warn().Str("Fingerprint", e.Fingerprint.String()).Str("Target", string(target.Target)).Int64("Born", target.Born).
+	level := zerolog.WarnLevel
+	if !e.Mine {
+		level = zerolog.DebugLevel
+	}
+	g.log.WithLevel(level).Str("Fingerprint", e.Fingerprint.String()).Str("Target", string(target.Target)).Int64("Born", target.Born).
 		Int("Crashes", e.Crashes).Str("Check", shownBy).Msg("target ended while it ran the request")
 }
 
--- a/isolator/fate.go
+++ b/isolator/fate.go
@@ -78,14 +78,20 @@
 	Fingerprint Fingerprint
 	// Crashes is the number of targets that are known to have ended under it.
 	Crashes int
+	// Mine is set if this entry had to find out.
+	Mine bool
 }
 
 // Unanswered records that a target has not answered a request that ended at a time, and
-// what is known of its fate by now.
+// what is known of its fate by now. Half of the room for cases is kept for others than those
+// in which nothing is known that counts.
 func (r *Registry) Unanswered(f Fingerprint, target Incarnation, fate Fate, at, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_, known := r.records[f]
+	if !known && fate != Silent && len(r.records) >= maxCases/2 {
+		return
+	}
 	c := r.record(f)
 	o := open{Incarnation: target, at: at, fate: fate, mine: true}
 	if fate == Alive {
@@ -230,7 +236,7 @@
 			if mine {
 				c.changed(f)
 			}
-			ends = append(ends, End{f, c.count(f)})
+			ends = append(ends, End{f, c.count(f), mine})
 		}
 		return false
 	})
--- a/isolator/fate_test.go
+++ b/isolator/fate_test.go
@@ -132,6 +132,12 @@
 	if n := len(r.watched); n > maxOpen {
 		t.Errorf("%d targets are watched", n)
 	}
+	for fingerprint := range Fingerprint(2 * maxCases) {
+		r.Unanswered(1000+fingerprint, target(0), Unknown, f.now, f.now)
+	}
+	if n := len(r.records); n > maxCases/2 {
+		t.Errorf("%d cases are kept in which nothing counts", n)
+	}
 	r.News(f.now.Add(suspectTTL + time.Minute))
 	if len(r.watched) > 0 || len(r.records) > 0 || r.watching.Load() != 0 || r.HasSuspects() {
 		t.Errorf("%d targets are watched, %d cases are left", len(r.watched), len(r.records))
@@ -194,3 +200,18 @@
 	f.entries[e].Unanswered(fingerprint, target, Silent, f.now, f.now)
 	f.unreachable = append(f.unreachable, unreachable{target, e, f.now.Add(d)})
 }
+
+// A request that lost an answer of a target that lives on, and is then answered, is no
+// matter for other entries.
+func TestPeersHearOfHarmlessRequests(t *testing.T) {
+	f := newSimulatedFleet(1, 1, 0)
+	r := f.entries[0]
+	r.Unanswered(1, target(0), Alive, f.now, f.now)
+	r.Unanswered(1, target(1), Unknown, f.now, f.now)
+	r.Answered(1, f.now.Add(time.Millisecond))
+	r.Crashed(2, "t2", 1, f.now)
+	r.Answered(2, f.now.Add(time.Millisecond))
+	if home, all := r.News(f.now.Add(simulatedTick)); len(home) > 0 || len(all.Cases) > 0 {
+		t.Errorf("the peers hear of %v and %v", home, all)
+	}
+}
--- a/isolator/record.go
+++ b/isolator/record.go
@@ -29,6 +29,8 @@
 	// untold is set if something has changed that the home entries have not been told,
 	// and unspread if something has that has not been broadcast.
 	untold, unspread bool
+	// told is set once peers know of the case.
+	told bool
 	// unsaved is set if the case has been blocked by a crash that this entry has
 	// observed or was told directly.
 	unsaved bool
@@ -120,8 +122,8 @@
 	}
 }
 
-// isSuspect reports whether the case may make a difference to the request.
-func (c *record) isSuspect() bool { return len(c.crashes) > 0 || c.silent() > 0 }
+// isSuspect reports whether anything counts against the request.
+func (c *record) isSuspect(f Fingerprint) bool { return c.count(f) > 0 || c.silent() > 0 }
 
 // isSpread reports whether all entries are told of the case.
 func (c *record) isSpread(f Fingerprint) bool { return c.count(f)+c.silent() >= spreadFrom }
--- a/isolator/registry.go
+++ b/isolator/registry.go
@@ -200,8 +200,8 @@
 	if !ok || len(c.crashes) == 0 && len(c.open) == 0 {
 		return
 	}
-	c.unspread = c.unspread || c.isSpread(f)
-	c.untold = true
+	c.unspread = c.told && (c.unspread || c.isSpread(f))
+	c.untold = c.told
 	c.answered(r.newAnswerID(), now)
 	r.settle(f, c)
 }
@@ -229,6 +229,7 @@
 // hear merges a case that a peer has sent into its record.
 func (r *Registry) hear(c *record, heard Case, direct bool, peers int, now time.Time) {
 	f := heard.Fingerprint
+	c.told = true
 	peer := record{answer: heard.Answer, answeredAt: now.Add(-heard.AnsweredAge)}
 	if heard.Answer != 0 && heard.AnsweredAge >= 0 {
 		c.answered(heard.Answer, peer.answeredAt)
@@ -278,7 +279,7 @@
 	for f, c := range r.records {
 		if c.untold {
 			home = append(home, c.encode(f, now))
-			c.untold = false
+			c.untold, c.told = false, true
 		}
 		due := c.unspread || mayRefresh && c.isSpread(f) && !now.Before(c.refreshAt)
 		if !due || len(all.Cases) >= MaxCasesPerMessage {
@@ -288,7 +289,7 @@
 			r.refreshedAt = now
 		}
 		all.Cases = append(all.Cases, c.encode(f, now))
-		c.unspread, c.refreshAt = false, now.Add(refreshInterval)
+		c.unspread, c.told, c.refreshAt = false, true, now.Add(refreshInterval)
 	}
 	return home, all
 }
@@ -343,7 +344,7 @@
 		r.remove(f, c)
 		return
 	}
-	if is := c.isSuspect(); is != c.counted {
+	if is := c.isSuspect(f); is != c.counted {
 		c.counted = is
 		r.suspects.Add(map[bool]int64{true: 1, false: -1}[is])
 	}
