Let a target that was seen alive fall silent under a later attempt

What callers saw: nothing yet. Found by reading: a request that timed out at a target that responded afterwards, and that later ended the same target silently, was not counted for 30 s; nor was one whose target a peer had seen before it fell silent.

Cause: alive outranked silent regardless of when each was found.

Change: of alive and silent the later one holds; peers tell how long ago they have seen a target.

--- a/isolator/fate.go
+++ b/isolator/fate.go
@@ -14,7 +14,8 @@
 }
 
 // Fate is what is known of a target that has not answered a request. A later one in this
-// order replaces an earlier one, at whichever entry either was found.
+// order replaces an earlier one, at whichever entry either was found; but one that was
+// alive may since have become silent.
 type Fate int
 
 //go:generate go tool stringer -type=Fate -linecomment -output=fate_string.go
@@ -64,6 +65,27 @@
 	return o.fate == Unknown && now.Sub(o.at) > unknownTTL || o.fate == Alive && now.Sub(o.seenAt) > aliveTTL
 }
 
+// learn replaces what is known of the fate by what is newer, and reports whether it is. A
+// target that was found alive may have fallen silent under a later attempt.
+func (o *open) learn(heard open) bool {
+	var newer bool
+	switch {
+	case o.fate == Alive && heard.fate < Alive:
+		newer = heard.at.After(o.seenAt)
+	case heard.fate == Alive && o.fate < Alive:
+		newer = heard.seenAt.After(o.at)
+	default:
+		newer = heard.fate > o.fate
+	}
+	if newer {
+		heard.mine = heard.mine || o.mine
+		*o = heard
+		return true
+	}
+	o.mine = o.mine || heard.mine && heard.fate == o.fate
+	return false
+}
+
 // watch is the state of a target that requests in the registry have an open fate at.
 type watch struct {
 	cases map[Fingerprint]struct{}
@@ -115,12 +137,7 @@
 		return false
 	}
 	if known := c.findOpen(o.Incarnation); known != nil {
-		if o.fate <= known.fate {
-			known.mine = known.mine || o.mine && o.fate == known.fate
-			return false
-		}
-		known.fate, known.seenAt, known.mine = o.fate, o.seenAt, known.mine || o.mine
-		return true
+		return known.learn(o)
 	}
 	if len(c.open) >= maxOpen {
 		r.unwatch(f, c.open[0].Incarnation)
--- a/isolator/fate_test.go
+++ b/isolator/fate_test.go
@@ -88,6 +88,25 @@
 			r.Seen(i, asked.Add(2*time.Second), asked.Add(2*time.Second))
 			r.Restarted(i, asked.Add(time.Second).UnixMilli())
 		}, 1},
+		{"seen, then silent under a later attempt", func(r *Registry, i Incarnation) {
+			r.Seen(i, asked.Add(time.Second), asked.Add(time.Second))
+			r.Unanswered(1, i, Silent, asked.Add(2*time.Second), asked.Add(2*time.Second))
+			r.HasEnded(i)
+		}, 1},
+		{"silent, seen by a peer before, then ends", func(r *Registry, i Incarnation) {
+			r.Silenced(i, asked.Add(time.Second))
+			r.Hear(News{Cases: []Case{{Fingerprint: 1, Open: []OpenFate{
+				{Target: i.Target, Born: i.Born, Age: 5 * time.Second, Alive: true, SeenAge: 4 * time.Second},
+			}}}}, 2, asked.Add(2*time.Second))
+			r.HasEnded(i)
+		}, 1},
+		{"silent, seen by a peer since, then ends", func(r *Registry, i Incarnation) {
+			r.Silenced(i, asked.Add(time.Second))
+			r.Hear(News{Cases: []Case{{Fingerprint: 1, Open: []OpenFate{
+				{Target: i.Target, Born: i.Born, Age: 2 * time.Second, Alive: true, SeenAge: 500 * time.Millisecond},
+			}}}}, 2, asked.Add(2*time.Second))
+			r.HasEnded(i)
+		}, 0},
 		{"silent, then seen, then restarts", func(r *Registry, i Incarnation) {
 			r.Silenced(i, asked.Add(time.Second))
 			r.Seen(i, asked.Add(2*time.Second), asked.Add(2*time.Second))
--- a/isolator/record.go
+++ b/isolator/record.go
@@ -193,8 +193,11 @@
 		out.Crashes = append(out.Crashes, Crash{Target: k.target, Born: k.born, Age: now.Sub(k.at)})
 	}
 	for _, o := range c.open {
-		if o.fate != Unknown {
-			out.Open = append(out.Open, OpenFate{Target: o.Target, Born: o.Born, Age: now.Sub(o.at), Alive: o.fate == Alive})
+		switch o.fate {
+		case Silent:
+			out.Open = append(out.Open, OpenFate{Target: o.Target, Born: o.Born, Age: now.Sub(o.at)})
+		case Alive:
+			out.Open = append(out.Open, OpenFate{Target: o.Target, Born: o.Born, Age: now.Sub(o.at), Alive: true, SeenAge: now.Sub(o.seenAt)})
 		}
 	}
 	if c.answer != 0 {
--- a/isolator/registry.go
+++ b/isolator/registry.go
@@ -110,8 +110,9 @@
 	Born int64 `cbor:"1,keyasint,omitempty"`
 	// Age is the time since the request ended without an answer.
 	Age time.Duration `cbor:"2,keyasint,omitempty"`
-	// Alive is set if the target has responded since. Otherwise it is silent.
-	Alive bool `cbor:"3,keyasint,omitempty"`
+	// Alive is set if the target has responded since, SeenAge ago. Otherwise it is silent.
+	Alive   bool          `cbor:"3,keyasint,omitempty"`
+	SeenAge time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // News is a message about cases.
@@ -246,16 +247,16 @@
 	}
 	missed := peer.count(f) > c.count(f)
 	for _, h := range heard.Open {
-		if h.Age < 0 {
+		if h.Age < 0 || h.SeenAge < 0 {
 			continue
 		}
 		o := open{Incarnation: Incarnation{h.Target, h.Born}, at: now.Add(-h.Age), fate: Silent, mine: direct}
 		if h.Alive {
-			o.fate, o.seenAt = Alive, now
+			o.fate, o.seenAt = Alive, now.Add(-h.SeenAge)
 		}
 		added = r.addOpen(f, c, o, now) || added
 		known := c.findOpen(o.Incarnation)
-		missed = missed || c.hasCrash(o.Incarnation) || known != nil && known.fate > o.fate || c.isVouched(o.at) && !peer.isVouched(o.at)
+		missed = missed || c.hasCrash(o.Incarnation) || known != nil && known.fate > o.fate && known.seenAt.After(o.at) || c.isVouched(o.at) && !peer.isVouched(o.at)
 	}
 	switch {
 	case direct && added:
