Remove a case from the store that an answer has voided

What callers saw: a request that was unblocked by an answer would be refused again for up to the rest of its block after all entries restart.

Cause: a blocked request is stored when it is blocked; an answer unblocked it at all running entries, and left the stored case.

Change: the entry that observes the answer removes the stored case.

--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -229,11 +229,7 @@
 func (g *Gateway) saveCases(ctx context.Context, cases []isolator.Case) {
 	now := time.Now()
 	for _, c := range cases {
-		var saved savedCase
-		for _, k := range c.Crashes {
-			saved.Crashes = append(saved.Crashes, savedCrash{k.Target, k.Born, now.Add(-k.Age)})
-		}
-		data, err := json.Marshal(saved)
+		data, err := encodeCase(c, now)
 		if err == nil {
 			err = g.store.Put(ctx, crashTopic, c.Fingerprint.String(), data)
 		}
@@ -243,6 +239,20 @@
 	}
 }
 
+// encodeCase returns the stored form of a case. It is empty for a case without crashes,
+// which removes what was stored.
+func encodeCase(c isolator.Case, now time.Time) ([]byte, error) {
+	if len(c.Crashes) == 0 {
+		return nil, nil
+	}
+	var saved savedCase
+	for _, k := range c.Crashes {
+		saved.Crashes = append(saved.Crashes, savedCrash{k.Target, k.Born, now.Add(-k.Age)})
+	}
+	data, err := json.Marshal(saved)
+	return data, errors.Wrap(err, "encode a case")
+}
+
 // readCases reads the cases from the store, and removes those that are too old to count.
 func (g *Gateway) readCases(ctx context.Context, now time.Time) ([]isolator.Case, error) {
 	page, err := g.store.Newest(ctx, crashTopic)
--- a/gateway/isolate_test.go
+++ b/gateway/isolate_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"savoryroad.dev/isolator"
+	"savoryroad.dev/loader"
 	"savoryroad.dev/platform/standin"
 )
 
@@ -176,6 +178,22 @@
 	}
 }
 
+// A case that an answer has voided is removed from the store, so that it doesn't block the
+// request again after all entries have restarted.
+func TestAnsweredCaseStaysStored(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	e := f.entries[0]
+	const blocked = isolator.Fingerprint(5)
+	for i := range isolator.CrashLimit {
+		e.isolator.Crashed(blocked, loader.TargetName(fmt.Sprint("x", i)), 1, time.Now())
+	}
+	key := blocked.String()
+	f.waitUntil(func() bool { return len(f.store.Newest(crashTopic, key)) > 0 })
+	e.isolator.Answered(blocked, time.Now())
+	f.waitUntil(func() bool { return len(f.store.Newest(crashTopic, key)) == 0 })
+	f.waitUntil(func() bool { return !f.entries[1].isolator.HasSuspects() })
+}
+
 // blockedKey returns the key under which the only blocked request of an entry is stored.
 func blockedKey(e *entry) string {
 	if cases := e.isolator.Cases(1, time.Now()); len(cases) == 1 {
--- a/isolator/record.go
+++ b/isolator/record.go
@@ -31,8 +31,8 @@
 	untold, unspread bool
 	// told is set once peers know of the case.
 	told bool
-	// unsaved is set if the case has been blocked by a crash that this entry has
-	// observed or was told directly.
+	// unsaved is set if the request has been blocked by a crash that this entry has
+	// observed or was told directly, or unblocked by an answer that it has observed.
 	unsaved bool
 	// refreshAt is when the case is broadcast again.
 	refreshAt time.Time
--- a/isolator/registry.go
+++ b/isolator/registry.go
@@ -201,6 +201,7 @@
 	if !ok || len(c.crashes) == 0 && len(c.open) == 0 {
 		return
 	}
+	c.unsaved = c.count(f) >= CrashLimit
 	c.unspread = c.told && (c.unspread || c.isSpread(f))
 	c.untold = c.told
 	c.answered(r.newAnswerID(), now)
@@ -309,7 +310,8 @@
 	return cases[:min(n, len(cases))]
 }
 
-// Unsaved returns the cases that this entry should save, once.
+// Unsaved returns the cases that this entry should save, once. A case without crashes should
+// be removed from where it was saved.
 func (r *Registry) Unsaved(now time.Time) []Case {
 	r.mu.Lock()
 	defer r.mu.Unlock()
