--- a/gateway/end.go
+++ b/gateway/end.go
@@ -129,12 +129,11 @@
 	return latest
 }
 
-// checkWatched checks a target that has not answered a request. It uses a connection of its
-// own: the target may not be registered any more.
+// checkWatched checks a target that has not answered a request.
 func (g *Gateway) checkWatched(ctx context.Context, t tracker.Target, healthPath string) {
 	askedAt := time.Now()
 	target := isolator.Incarnation{Target: t.Name, Born: t.Born}
-	switch v := newEndVerdict(g.askHealth(ctx, t.Name, t.Address, healthPath)); v {
+	switch v := g.checkRegistered(ctx, t, healthPath); v {
 	case endRefuted:
 		g.isolator.Seen(target, askedAt, time.Now())
 	case endSilent:
@@ -144,6 +143,19 @@
 	}
 }
 
+// checkRegistered checks a target that is or was registered. One that gets no requests any
+// more, or to which no connection is free, gets a connection of its own.
+func (g *Gateway) checkRegistered(ctx context.Context, t tracker.Target, healthPath string) endVerdict {
+	if s, ok := g.snapshot.Load().services[t.Service]; ok {
+		if target := s.placer.Find(t.Name); target != nil && target.Born() == t.Born {
+			if v := g.checkEnd(s, target); v != endBusy {
+				return v
+			}
+		}
+	}
+	return newEndVerdict(g.askHealth(ctx, t.Name, t.Address, healthPath))
+}
+
 // askHealth sends a health check to a target at an address, on a new connection.
 func (g *Gateway) askHealth(ctx context.Context, name loader.TargetName, address netip.AddrPort, healthPath string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/isolator/fate.go
+++ b/isolator/fate.go
@@ -41,7 +41,7 @@
 	// firstCheckDelay is the time until a target is checked whose fate is unknown: most
 	// have responded to other requests by then. The time between two checks doubles up
 	// to maxCheckInterval.
-	firstCheckDelay  = 500 * time.Millisecond
+	firstCheckDelay  = 1 * time.Second
 	maxCheckInterval = 4 * time.Second
 	// maxOpen is the number of targets of an open fate that are kept of a case.
 	maxOpen = 8
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -276,6 +276,13 @@
 	t.notePause(r.Pause, now)
 }
 
+// Find returns the target with a name that may get requests, or nil.
+func (s *Service) Find(name loader.TargetName) *Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets[name]
+}
+
 // HeardAt returns when a target last responded to a health check; zero if it never did.
 func (s *Service) HeardAt(t *Target) time.Time {
 	s.mu.Lock()
