--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,7 +6,8 @@
 //
 // A request passes through serve.go (routing and answers), call.go (attempts,
 // retries and hedges), wait.go (the queue for targets), look.go (health checks of
-// targets) and isolate.go (requests that crash targets). The entry receives the state of the fleet from the store (follow.go) and
+// targets) and isolate.go (requests that crash targets, which are found by end.go and
+// silence.go). The entry receives the state of the fleet from the store (follow.go) and
 // from its peers (news.go), and acquires its share of the fleet's limits in share.go.
 // The control loop in board.go passes all of this to the model and publishes the
 // snapshot that requests read. The entry stops in the steps of stop.go.
