Take the memory of request bodies from the buffers of an entry

Cause: each request kept up to 1 MiB of its body in a buffer that grew to 2 MiB, until its answer was there; nothing bounded the sum.

Change: request bodies take what they hold beyond 16 KiB from the buffers of response bodies, a quarter of the memory, before they are read, and give it back when the request ends. Without memory a request is refused with 503 and Retry-After, before its body is read if its length is known.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -5,8 +5,76 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"savoryroad.dev/transporter"
 )
 
+// freeBody is the number of bytes of a request body that are buffered without taking them
+// from the entry's buffers, so that small requests pass beside large ones.
+const freeBody = 16 << 10
+
+// errNoMemory means that the buffers of the entry are used up.
+var errNoMemory = errors.New("no memory for the request body")
+
+// bodyBuffer holds the beginning of a request body.
+type bodyBuffer struct {
+	// buffers is what the body takes its memory from; nil means no bound.
+	buffers *transporter.Buffers
+	// reserved is the number of bytes that were taken.
+	reserved int
+}
+
+// read reads a body until its end, or maxBufferedBody bytes of it. Length is the length
+// of the body in bytes, or -1 if unknown. If the memory for a body of known length isn't
+// there, read returns errNoMemory before it reads anything.
+func (b *bodyBuffer) read(body io.Reader, length int64) ([]byte, error) {
+	size := freeBody
+	if length >= 0 {
+		// A byte more than the body, so that the end is read as well.
+		size = int(min(length+1, maxBufferedBody))
+	}
+	if !b.reserve(size) {
+		return nil, errNoMemory
+	}
+	data := make([]byte, 0, size)
+	for {
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case err == io.EOF, len(data) == maxBufferedBody:
+			return data, nil
+		case err != nil:
+			return nil, err
+		case len(data) < cap(data):
+			continue
+		}
+		size = min(2*cap(data), maxBufferedBody)
+		if !b.reserve(size) {
+			return nil, errNoMemory
+		}
+		data = append(make([]byte, 0, size), data...)
+	}
+}
+
+// reserve takes memory for a buffer of a size in bytes. It returns false if there is none.
+func (b *bodyBuffer) reserve(size int) bool {
+	added := max(0, size-freeBody) - b.reserved
+	if added <= 0 {
+		return true
+	}
+	if !b.buffers.Take(added) {
+		return false
+	}
+	b.reserved += added
+	return true
+}
+
+// free gives the memory back. The body must not be used any more.
+func (b *bodyBuffer) free() {
+	b.buffers.Give(b.reserved)
+	b.reserved = 0
+}
+
 // errBodyWithdrawn is returned to an attempt whose body another attempt took over.
 var errBodyWithdrawn = errors.New("the request body was withdrawn from the attempt")
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,8 +47,8 @@
 	defaultHeaderBytes   = 64 << 10
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
-	// bufferMemoryDivisor is the part of the process's memory that response bodies
-	// may take up. The garbage collector may need as much again.
+	// bufferMemoryDivisor is the part of the process's memory that bodies of requests
+	// and responses may take up. The garbage collector may need as much again.
 	bufferMemoryDivisor = 4
 )
 
@@ -80,7 +80,9 @@
 	isolator      *isolator.Registry
 	crashesLoaded atomic.Bool
 	crashes       metrics.Counter
-	// buffers bounds the memory of response bodies; nil means no bound.
+	// refusedBodies counts the requests that were refused for lack of memory.
+	refusedBodies metrics.Counter
+	// buffers bounds the memory of bodies; nil means no bound.
 	buffers *transporter.Buffers
 
 	snapshot atomic.Pointer[snapshot]
@@ -160,6 +162,7 @@
 	g.storeReadsPartial = g.recorder.Counter("store_reads_partial_total")
 	g.limitChanges = g.recorder.Counter("target_limit_changes_total")
 	g.crashes = g.recorder.Counter("target_crashes_total")
+	g.refusedBodies = g.recorder.Counter("refused_bodies_total")
 	g.snapshot.Store(&snapshot{})
 	g.bounds.Store(&p.Bounds)
 	g.calls, g.endCalls = context.WithCancel(context.Background())
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -80,7 +79,13 @@
 	if left, ok := platform.Deadline(r.Header); ok && left < route.Timeout {
 		deadline = arrived.Add(left)
 	}
-	request, err := g.readRequest(w, r, snap.router.Config().Limits.BodyBytes, deadline)
+	held := bodyBuffer{buffers: g.buffers}
+	defer held.free()
+	request, err := g.readRequest(w, r, &held, snap.router.Config().Limits.BodyBytes, deadline)
+	if errors.Is(err, errNoMemory) {
+		g.refuseBody(w, id, time.Since(arrived))
+		return
+	}
 	if err != nil {
 		g.rejectBody(w, r, err)
 		return
@@ -120,9 +125,10 @@
 var errTooLarge = errors.New("request body is too large")
 
 // readRequest returns the request to send to a target, without hop-by-hop
-// headers. It reads up to maxBufferedBody bytes of the body until the deadline;
-// what remains of a larger body is streamed.
-func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (transporter.Request, error) {
+// headers. It reads up to maxBufferedBody bytes of the body into held until the
+// deadline; what remains of a larger body is streamed. It returns errNoMemory if
+// there is no memory for the body.
+func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request, held *bodyBuffer, limit int64, deadline time.Time) (transporter.Request, error) {
 	header := r.Header.Clone()
 	for _, name := range header.Values("Connection") {
 		header.Del(name)
@@ -152,13 +158,12 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	var buf bytes.Buffer
-	n, err := io.Copy(&buf, io.LimitReader(body, maxBufferedBody))
+	data, err := held.read(body, r.ContentLength)
 	if err != nil {
 		return request, errors.Wrap(err, "read body")
 	}
-	request.Body = buf.Bytes()
-	if n < maxBufferedBody {
+	request.Body = data
+	if n := int64(len(data)); n < maxBufferedBody {
 		// From here on the server reads the connection in the background to
 		// detect a disconnect, and would take an expired deadline for one.
 		request.Length = n
@@ -168,6 +173,15 @@
 	return request, nil
 }
 
+// refuseBody refuses a request because there is no memory for its body.
+func (g *Gateway) refuseBody(w http.ResponseWriter, id string, took time.Duration) {
+	v := refused{reason: "no memory for the body", retryAfter: retryAfter(maxRetryAfter)}
+	g.refusedBodies.Inc(1)
+	g.log.Warn().Str("Request", id).Str("Reason", v.reason).Dur("RetryAfter", v.retryAfter).Dur("Took", took).Msg("refused")
+	w.Header().Set("Connection", "close")
+	writeRefusal(w, v)
+}
+
 // rejectBody writes the answer to a request whose body could not be read.
 func (g *Gateway) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
 	var tooLarge *http.MaxBytesError
--- a/transporter/buffer.go
+++ b/transporter/buffer.go
@@ -22,9 +22,9 @@
 // ErrHeadTooLong is returned for a response whose head exceeds 64 KiB.
 var ErrHeadTooLong = errors.New("the head of the response is too long")
 
-// Buffers bounds the memory, in bytes, of the response bodies that an entry holds
-// while it reads or forwards them. Once it is used up, responses are passed on
-// after freeBufferedBody bytes. It is safe for concurrent use.
+// Buffers bounds the memory, in bytes, of the bodies that an entry holds while it reads
+// or forwards them. Once it is used up, responses are passed on after freeBufferedBody
+// bytes. It is safe for concurrent use.
 type Buffers struct{ free atomic.Int64 }
 
 // NewBuffers returns buffers of a total size in bytes.
@@ -37,9 +37,9 @@
 // Free returns the number of bytes that are left.
 func (b *Buffers) Free() int64 { return b.free.Load() }
 
-// take reserves n bytes. It returns false if fewer are left. Nil buffers are
+// Take reserves n bytes. It returns false if fewer are left. Nil buffers are
 // unlimited.
-func (b *Buffers) take(n int) bool {
+func (b *Buffers) Take(n int) bool {
 	if b == nil {
 		return true
 	}
@@ -50,8 +50,8 @@
 	return true
 }
 
-// give returns n reserved bytes.
-func (b *Buffers) give(n int) {
+// Give returns n reserved bytes.
+func (b *Buffers) Give(n int) {
 	if b != nil {
 		b.free.Add(int64(n))
 	}
@@ -89,7 +89,7 @@
 		size = int(min(a.Length, int64(limit)))
 	}
 	added := size - max(len(a.Body), freeBufferedBody)
-	if size <= len(a.Body) || added > 0 && !a.conn.pool.buffers.take(added) {
+	if size <= len(a.Body) || added > 0 && !a.conn.pool.buffers.Take(added) {
 		return false
 	}
 	a.reserved += max(0, added)
@@ -99,7 +99,7 @@
 
 // free returns the buffer's memory to the pool's buffers.
 func (a *Answer) free() {
-	a.conn.pool.buffers.give(a.reserved)
+	a.conn.pool.buffers.Give(a.reserved)
 	a.reserved = 0
 }
 
