Let callers of refused uploads read their answer

Cause: the server closes a connection of which much of the body is unread.

Change: the body of a refused upload is read and discarded until its deadline, after the answer was sent.

TestRefusedUploadLosesItsAnswer fails before (unexpected EOF).

--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -121,3 +123,39 @@
 	}
 	f.waitUntil(func() bool { return e.buffers.Free() == memory/bufferMemoryDivisor })
 }
+
+// A caller that reads its answer only after it has sent its body gets the refusal. Its
+// connection is closed then, so that it may come to another entry.
+func TestRefusedUploadLosesItsAnswer(t *testing.T) {
+	const size, parts = 900 << 10, 10
+	f := newFleet(t, 0, 1)
+	f.memory = bufferMemoryDivisor * 100 << 10
+	e := f.startEntry(netip.MustParseAddr(fmt.Sprintf("127.1.%d.1", fleetCount.Add(1))))
+	f.waitUntil(e.ready.Load)
+	conn, err := net.Dial("tcp", e.platform.Listen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "PUT /upload/ HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r\r\nRequest-Deadline: 20000\r\nContent-Length: %d\r\n\r\n", size)
+	for range parts {
+		if _, err := conn.Write(make([]byte, size/parts)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	r := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(r, &http.Request{Method: http.MethodPut})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("%+v, %v", resp, err)
+	}
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("after the answer: %v", err)
+	}
+	if n := f.runCount("r"); n > 0 {
+		t.Errorf("a refused request ran %d times", n)
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -83,7 +83,7 @@
 	defer held.free()
 	request, err := g.readRequest(w, r, &held, snap.router.Config().Limits.BodyBytes, deadline)
 	if errors.Is(err, errNoMemory) {
-		g.refuseBody(w, id, time.Since(arrived))
+		g.refuseBody(w, r, time.Since(arrived))
 		return
 	}
 	if err != nil {
@@ -173,13 +173,26 @@
 	return request, nil
 }
 
-// refuseBody refuses a request because there is no memory for its body.
-func (g *Gateway) refuseBody(w http.ResponseWriter, id string, took time.Duration) {
+// refuseBody refuses a request because there is no memory for its body. Many callers read
+// an answer only after they have sent their body, and lose it if the connection is closed
+// before; so the body is read and discarded until the read deadline. Then the connection
+// is closed: the caller's next one may lead to an entry that has memory.
+func (g *Gateway) refuseBody(w http.ResponseWriter, r *http.Request, took time.Duration) {
+	id, _ := platform.RequestID(r.Header)
 	v := refused{reason: "no memory for the body", retryAfter: retryAfter(maxRetryAfter)}
 	g.refusedBodies.Inc(1)
 	g.log.Warn().Str("Request", id).Str("Reason", v.reason).Dur("RetryAfter", v.retryAfter).Dur("Took", took).Msg("refused")
+	ctrl := http.NewResponseController(w)
+	// Without full duplex, the server reads a part of the body before it answers.
+	drains := r.Header.Get("Expect") == "" && ctrl.EnableFullDuplex() == nil
 	w.Header().Set("Connection", "close")
 	writeRefusal(w, v)
+	if !drains || ctrl.Flush() != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		g.log.Debug().Err(err).Str("Request", id).Msg("the caller of a refused request has not sent its whole body")
+	}
 }
 
 // rejectBody writes the answer to a request whose body could not be read.
