Make the test of refused uploads fail without the fix

Cause: the body of its final form was sent within half a second, for which the server waits before it closes: it also passed without the fix.

Change: the body takes 1.5 s.

--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -138,11 +138,12 @@
 	}
 	defer conn.Close()
 	fmt.Fprintf(conn, "PUT /upload/ HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r\r\nRequest-Deadline: 20000\r\nContent-Length: %d\r\n\r\n", size)
+	// Longer than the half second for which the server itself waits before it closes.
 	for range parts {
 		if _, err := conn.Write(make([]byte, size/parts)); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(150 * time.Millisecond)
 	}
 	r := bufio.NewReader(conn)
 	resp, err := http.ReadResponse(r, &http.Request{Method: http.MethodPut})
