--- a/review/lab2/recovery.go
+++ b/review/lab2/recovery.go
@@ -10,22 +10,24 @@
 	"time"
 )
 
-// Some entries are removed one after the other, and then all others are killed at once and
+// Entries are removed one after the other. In between, all others are killed at once and
 // started again. Tenants have quotas.
 const (
-	// recoveryEntries is the number of entries, of which removed are removed, each
-	// removalGap after the one before.
-	recoveryEntries = 16
-	removed         = 10
+	// recoveryEntries is the number of entries, of which removedBefore are removed before
+	// the others are killed and removedAfter after they are back, each removalGap after the
+	// one before.
+	recoveryEntries = 28
+	removedBefore   = 10
+	removedAfter    = 10
 	removalGap      = 1500 * time.Millisecond
 	// downTime is the time from the kill of the others to their start.
 	downTime = time.Second
 	// recoverBound is the bound of RECOVER, and judgedTime how long after it the requests
 	// are judged.
 	recoverBound = 15 * time.Second
-	judgedTime   = 8 * time.Second
+	judgedTime   = 15 * time.Second
 	// settledTime is how long the entries run before the first is removed.
-	settledTime = 15 * time.Second
+	settledTime = 12 * time.Second
 	// recoveryRate is the number of lookups a second, from all clients.
 	recoveryRate = 60
 	// tenantRate and tenantBurst are the quota of each tenant, far above what it sends.
@@ -69,44 +71,40 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { run.send(w, stop, &wg) })
 	time.Sleep(2 * time.Second)
-	var faultAt time.Time
 	if trouble {
-		run.removeSome(w)
-		faultAt = time.Now()
-		if err := w.restart(w.entries[:recoveryEntries-removed], downTime); err != nil {
+		run.removeSome(w, removedBefore)
+	} else {
+		time.Sleep(removedBefore * removalGap)
+	}
+	faultAt := time.Now()
+	if trouble {
+		if err := w.restart(w.entries[:recoveryEntries-removedBefore], downTime); err != nil {
 			return verdict{}, err
 		}
 	} else {
-		time.Sleep(removed * removalGap)
-		faultAt = time.Now()
 		time.Sleep(downTime)
 	}
 	backAt := time.Now()
 	w.record("all machines are back")
+	if trouble {
+		wg.Go(func() { run.removeSome(w, removedAfter) })
+	}
 	time.Sleep(recoverBound + judgedTime)
 	close(stop)
 	wg.Wait()
 	return run.judge(w, faultAt, backAt), nil
 }
 
-// removeSome removes entries one after the other, from the last on, and waits for their
-// ends. Clients aren't sent to one that was told to end.
-func (b *recoveryRun) removeSome(w *world) {
-	leaving := w.entries[recoveryEntries-removed:]
-	for i := range leaving {
-		e := leaving[len(leaving)-1-i]
-		b.usable.Add(-1)
+// removeSome removes n entries one after the other, the last ones first. Clients aren't sent
+// to one that was told to end.
+func (b *recoveryRun) removeSome(w *world, n int) {
+	for range n {
+		e := w.entries[b.usable.Add(-1)]
 		w.record("%s gets SIGTERM, and is removed", e.name)
 		_ = e.cmd.Process.Signal(syscall.SIGTERM)
+		time.AfterFunc(grace, func() { _ = e.cmd.Process.Kill() })
 		time.Sleep(removalGap)
 	}
-	for _, e := range leaving {
-		select {
-		case <-e.exited:
-		case <-time.After(grace):
-			_ = e.cmd.Process.Kill()
-		}
-	}
 }
 
 // send sends lookups to the usable entries in turn, each on a new connection, until stop is
@@ -177,7 +175,7 @@
 		first = fmt.Sprintf("the first was served %.1f s after the machines were back", firstServed.Seconds())
 	}
 	ready := 0
-	for _, e := range w.entries[:recoveryEntries-removed] {
+	for _, e := range w.entries[:recoveryEntries-removedBefore-removedAfter] {
 		if !e.ended() && e.isReady() {
 			ready++
 		}
