--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// maxText is how much of an answer's body is kept, in bytes.
+const maxText = 100
+
 // requestCount numbers the requests of all clients.
 var requestCount atomic.Int64
 
@@ -22,6 +25,8 @@
 	// headers are further lines of the head.
 	headers []string
 	body    string
+	// anonymous is set if the request is sent without its ID.
+	anonymous bool
 }
 
 func newRequest(method, path string, headers ...string) request {
@@ -31,8 +36,10 @@
 // text returns the request as it is sent.
 func (r request) text(deadline time.Duration) string {
 	lines := []string{
-		r.method + " " + r.path + " HTTP/1.1", "Host: " + host, "Request-Id: " + r.id,
-		fmt.Sprintf("Request-Deadline: %d", deadline.Milliseconds()),
+		r.method + " " + r.path + " HTTP/1.1", "Host: " + host, fmt.Sprintf("Request-Deadline: %d", deadline.Milliseconds()),
+	}
+	if !r.anonymous {
+		lines = append(lines, "Request-Id: "+r.id)
 	}
 	lines = append(lines, r.headers...)
 	if r.method == http.MethodPost {
@@ -46,6 +53,8 @@
 	status int
 	seal   string
 	bytes  int64
+	// text is the beginning of the body.
+	text   string
 	closes bool
 	err    error
 }
@@ -95,6 +104,12 @@
 	if err != nil {
 		return answer{err: err}
 	}
-	n, err := io.Copy(io.Discard, resp.Body)
-	return answer{status: resp.StatusCode, seal: resp.Header.Get("Response-Seal"), bytes: n, closes: resp.Close, err: err}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxText))
+	n := int64(len(text))
+	if err == nil {
+		var rest int64
+		rest, err = io.Copy(io.Discard, resp.Body)
+		n += rest
+	}
+	return answer{status: resp.StatusCode, seal: resp.Header.Get("Response-Seal"), bytes: n, text: string(text), closes: resp.Close, err: err}
 }
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -41,6 +41,7 @@
 	"tenant":   playTenant,
 	"budget":   playBudget,
 	"recovery": playRecovery,
+	"foreign":  playForeign,
 }
 
 func main() { os.Exit(play()) }
