--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -42,6 +42,8 @@
 	"budget":   playBudget,
 	"recovery": playRecovery,
 	"foreign":  playForeign,
+	"stuck":    playStuck,
+	"heads":    playHeads,
 }
 
 func main() { os.Exit(play()) }
--- a/review/lab2/recovery.go
+++ b/review/lab2/recovery.go
@@ -46,6 +46,9 @@
 	calls []recoveryCall
 	// usable is the number of entries that clients are sent to, from the first on.
 	usable atomic.Int64
+	// rate is the number of lookups a second, and path the beginning of their path.
+	rate int
+	path string
 }
 
 func playRecovery(w *world, trouble bool) (verdict, error) {
@@ -68,6 +71,7 @@
 	time.Sleep(settledTime)
 	run, stop := &recoveryRun{}, make(chan struct{})
 	run.usable.Store(recoveryEntries)
+	run.rate, run.path = recoveryRate, "/donors/"
 	var wg sync.WaitGroup
 	wg.Go(func() { run.send(w, stop, &wg) })
 	time.Sleep(2 * time.Second)
@@ -92,7 +96,7 @@
 	time.Sleep(recoverBound + judgedTime)
 	close(stop)
 	wg.Wait()
-	return run.judge(w, faultAt, backAt), nil
+	return run.judge(w, w.entries[:recoveryEntries-removedBefore-removedAfter], faultAt, backAt), nil
 }
 
 // removeSome removes n entries one after the other, the last ones first. Clients aren't sent
@@ -110,7 +114,7 @@
 // send sends lookups to the usable entries in turn, each on a new connection, until stop is
 // closed.
 func (b *recoveryRun) send(w *world, stop <-chan struct{}, wg *sync.WaitGroup) {
-	ticker := time.NewTicker(time.Second / recoveryRate)
+	ticker := time.NewTicker(time.Second / time.Duration(b.rate))
 	defer ticker.Stop()
 	for i := 0; ; i++ {
 		select {
@@ -128,7 +132,7 @@
 	if i%3 == 0 {
 		key = otherKey
 	}
-	r := newRequest("GET", fmt.Sprintf("/donors/%d", i), "Authorization: Token "+key)
+	r := newRequest("GET", b.path+fmt.Sprint(i), "Authorization: Token "+key)
 	call := recoveryCall{sentAt: time.Now()}
 	a := answer{}
 	c, err := dial(e.front)
@@ -147,7 +151,7 @@
 }
 
 // judge compares what was served before the fault with what was after the bound.
-func (b *recoveryRun) judge(w *world, faultAt, backAt time.Time) verdict {
+func (b *recoveryRun) judge(w *world, left []*entry, faultAt, backAt time.Time) verdict {
 	before, servedBefore, after, servedAfter := 0, 0, 0, 0
 	firstServed := time.Duration(-1)
 	statuses := map[int]int{}
@@ -175,7 +179,7 @@
 		first = fmt.Sprintf("the first was served %.1f s after the machines were back", firstServed.Seconds())
 	}
 	ready := 0
-	for _, e := range w.entries[:recoveryEntries-removedBefore-removedAfter] {
+	for _, e := range left {
 		if !e.ended() && e.isReady() {
 			ready++
 		}
--- a/review/lab2/target.go
+++ b/review/lab2/target.go
@@ -35,8 +35,8 @@
 	rejected bool
 }
 
-// target is a stand-in for a target. It runs a request at once, in a fixed time, and rejects
-// it if all slots are taken.
+// target is a stand-in for a target. It runs as many requests at the same time as it has
+// slots, each in a fixed time. As many more wait, and it rejects the others.
 type target struct {
 	w       *world
 	id      string
@@ -44,9 +44,13 @@
 	slots   int
 	work    time.Duration
 	// bytes is the length of an answer.
-	bytes     int
-	server    *httptest.Server
-	running   atomic.Int64
+	bytes  int
+	server *httptest.Server
+	// taken counts the requests that run or wait; those that run hold a slot.
+	taken atomic.Int64
+	free  chan struct{}
+	// slowness multiplies the work; 0 means that the target is as fast as usual.
+	slowness  atomic.Int64
 	born      int64
 	stopBeats chan struct{}
 	// breaksOff and sheds tell, if set, whether the target breaks off its answer to a
@@ -60,7 +64,7 @@
 
 // addTarget starts a target and registers it.
 func (w *world) addTarget(id, service string, slots int, work time.Duration, bytes int) *target {
-	t := &target{w: w, id: id, service: service, slots: slots, work: work, bytes: bytes, born: time.Now().UnixMilli(), stopBeats: make(chan struct{})}
+	t := &target{w: w, id: id, service: service, slots: slots, work: work, bytes: bytes, born: time.Now().UnixMilli(), stopBeats: make(chan struct{}), free: make(chan struct{}, slots)}
 	t.server = httptest.NewUnstartedServer(t)
 	t.server.Config.IdleTimeout = targetIdleTimeout
 	t.server.Start()
@@ -103,7 +107,7 @@
 
 // ServeHTTP answers health checks and requests as PROTOCOL.md says.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d,100", t.running.Load(), t.slots))
+	w.Header().Set("Server-Load", t.load())
 	w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", targetIdleTimeout/time.Second))
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", t.id)
@@ -127,8 +131,8 @@
 	}
 	rejected := t.sheds != nil && t.sheds()
 	if !rejected {
-		defer t.running.Add(-1)
-		rejected = t.running.Add(1) > int64(t.slots)
+		defer t.taken.Add(-1)
+		rejected = t.taken.Add(1) > 2*int64(t.slots)
 	}
 	t.note(r, id, rejected)
 	if rejected {
@@ -137,12 +141,24 @@
 		return
 	}
 	select {
-	case <-time.After(t.work):
+	case t.free <- struct{}{}:
+		defer func() { <-t.free }()
+	case <-r.Context().Done():
+		return
+	}
+	select {
+	case <-time.After(t.work * time.Duration(max(1, t.slowness.Load()))):
 		t.answer(w, id, len(body))
 	case <-r.Context().Done():
 	}
 }
 
+// load returns the value of Server-Load.
+func (t *target) load() string {
+	running := int64(len(t.free))
+	return fmt.Sprintf("%d,%d,%d,100", running, max(0, t.taken.Load()-running), t.slots)
+}
+
 // note records an arrival.
 func (t *target) note(r *http.Request, id string, rejected bool) {
 	_, hasTenant := r.Header["Tenant-Id"]
