Reject responses with a status outside 100 to 599

Seen by callers: of a target that sends status 000 and an answer behind it, the gateway forwards what is behind. A 600 or 999 reaches the caller as sent. In the forwarder, status 000 panics in WriteHeader: the caller's connection breaks off and the target's capacity is lost: of 40 calls in a row the first breaks off and 39 get 503, "every backend server is busy" (trial). The store's client reports a write that was answered with 000 as refused, which promises that it was not executed.

Cause: http.ReadResponse takes any three characters that Atoi reads for a status, "+20" too. The transporter skips all below 200 as informational; the other readers take 000 for a final response.

Change: the package validator checks the bytes of each head as a connection receives them, before any parser sees them, and fails the read. What then fails is a connection without a response, which every reader already treats as an unknown outcome.

--- a/appender/http.go
+++ b/appender/http.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"savoryroad.dev/validator"
 )
 
 const (
@@ -45,7 +47,7 @@
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
 	}
-	return &HTTP{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: tr}}
+	return &HTTP{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: validator.NewTransport(tr)}}
 }
 
 // Close drops the idle connections.
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -13,6 +13,7 @@
 	"savoryroad.dev/picker"
 	"savoryroad.dev/recorder"
 	"savoryroad.dev/registrar"
+	"savoryroad.dev/validator"
 	"savoryroad.dev/warmer"
 )
 
@@ -65,10 +66,10 @@
 	// service's lock.
 	startID string
 	// pooled reuses connections between calls.
-	pooled *http.Transport
+	pooled *validator.Transport
 	// unpooled opens a connection for each call, so that a call is never sent
 	// on a connection that its server is about to close.
-	unpooled *http.Transport
+	unpooled *validator.Transport
 	// stats returns the target's metrics.
 	stats func() *backendStats
 }
@@ -103,15 +104,13 @@
 	return max(min(t.Slots, (maxConns+1)/2), 1)
 }
 
-func newTransport(b *backend, d loader.TargetDefaults, maxConns int) *http.Transport {
+func newTransport(b *backend, d loader.TargetDefaults, maxConns int) *validator.Transport {
 	dialer := &net.Dialer{
 		Timeout:         d.ConnectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 3},
 	}
 	address := b.target.Address.String()
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	return &http.Transport{
+	return validator.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			b.stats().connects.Inc(1)
 			return dialer.DialContext(ctx, "tcp", address)
@@ -121,8 +120,7 @@
 		ExpectContinueTimeout:  continueTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DisableCompression:     true,
-		Protocols:              protocols,
-	}
+	})
 }
 
 func newBackendStats(service loader.ServiceName, name loader.TargetName, t loader.Target, rec *recorder.Recorder) *backendStats {
@@ -142,7 +140,7 @@
 }
 
 // transport returns the transport for calls of a class.
-func (b *backend) transport(c loader.Class) *http.Transport {
+func (b *backend) transport(c loader.Class) *validator.Transport {
 	if c == loader.AtMostOnce {
 		return b.unpooled
 	}
--- /dev/null
+++ b/gateway/broken_answer_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"savoryroad.dev/platform"
+	"savoryroad.dev/platform/standin"
+	"savoryroad.dev/validator/violator"
+)
+
+// An answer that violates the protocol is none: the caller gets a failure that bears no
+// seal and promises nothing, and a call that isn't idempotent isn't sent again.
+func TestInvalidAnswersReachCallers(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	invalid := func(id string) map[string]string {
+		return violator.Responses(http.StatusOK, fmt.Sprintf("Request-Id: %s\r\nResponse-Seal: t0.%s\r\n", id, id), "body")
+	}
+	for name := range invalid("") {
+		f.targets[0].SetRawResponse(func(r *http.Request) string {
+			if r.URL.Path == "/health" {
+				return ""
+			}
+			return invalid(r.Header.Get("Request-Id"))[name]
+		})
+		for _, path := range []string{"/safe/", "/unsafe/", "/upload/"} {
+			id := name + path
+			got := f.call(f.entries[0], http.MethodPost, path, id, []byte("b"))
+			if got.status < 500 || platform.PromisesNotRun(got.status) || standin.Seal(got.header) != "" || got.body != "" {
+				t.Errorf("%s: %+v", id, got)
+			}
+			if path != "/safe/" && f.runCount(id) != 1 {
+				t.Errorf("%s ran %d times", id, f.runCount(id))
+			}
+		}
+	}
+}
+
+// A health check whose answer violates the protocol has failed: it says nothing of the
+// target's load, and no call follows it.
+func TestInvalidAnswerToHealthCheckPasses(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	s := f.entries[0].snapshot.Load().services["s"]
+	target := s.placer.Find("t0")
+	if conn, err := f.entries[0].probe(s, target); err != nil {
+		t.Fatal(err)
+	} else {
+		conn.Release()
+	}
+	for name, response := range violator.Responses(http.StatusOK, "Instance-Id: t0\r\nServer-Load: 0,0,6\r\n", "") {
+		f.targets[0].SetRawResponse(func(*http.Request) string { return response })
+		if conn, err := f.entries[0].probe(s, target); err == nil {
+			conn.Release()
+			t.Errorf("%s: the health check passes", name)
+		}
+	}
+}
--- a/transporter/exchange.go
+++ b/transporter/exchange.go
@@ -219,6 +219,11 @@
 	// Whether a response has a body depends on the request's method.
 	req := &http.Request{Method: r.Method}
 	c.source.inHead, c.source.left = true, maxHeadBytes
+	// Bytes behind a response to an earlier request are buffered already.
+	buffered, _ := c.r.Peek(c.r.Buffered())
+	if err := c.conn.ExpectResponse(buffered); err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
 	resp, err := http.ReadResponse(c.r, req)
 	for err == nil && resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 		resp, err = http.ReadResponse(c.r, req)
--- a/transporter/fuzz_test.go
+++ b/transporter/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -21,6 +22,7 @@
 		"HTTP/1.1 101 Switching Protocols\r\nId: 1\r\n\r\nabc",
 		"HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\nabc",
 		"HTTP/1.0 200\r\nKeep-Alive: timeout=-1, max=x\r\nContent-Length: -1\r\n\r\n",
+		"HTTP/1.1 000 \r\nId: 1\r\n\r\n" + response("1", "body"),
 		"\x00\xff",
 	} {
 		f.Add([]byte(seed), true)
@@ -38,8 +40,7 @@
 			_, _ = target.Write(data) // the entry may have closed the connection
 		}()
 		p := &Pool{limit: 1, open: 1, buffers: NewBuffers(size)}
-		source := &headReader{source: entry}
-		c := &Conn{pool: p, conn: entry, r: bufio.NewReaderSize(source, readBufferSize), source: source, idleTimeout: defaultIdleTimeout}
+		c := newConn(p, entry)
 		r := newRequest("1")
 		if head {
 			r.Method = "HEAD"
@@ -49,6 +50,9 @@
 			t.Fatalf("%+v, %v", a, err)
 		}
 		if a != nil {
+			if a.Status < http.StatusOK && a.Status != http.StatusSwitchingProtocols || a.Status >= 600 {
+				t.Errorf("status %d", a.Status)
+			}
 			if id := a.Header.Get("Id"); id != "" && id != "1" {
 				t.Errorf("the response of request %q", id)
 			}
--- a/transporter/pool.go
+++ b/transporter/pool.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"savoryroad.dev/validator"
 )
 
 const (
@@ -97,7 +99,7 @@
 // or Close.
 type Conn struct {
 	pool *Pool
-	conn net.Conn
+	conn *validator.Conn
 	r    *bufio.Reader
 	// source is what r reads from.
 	source *headReader
@@ -159,8 +161,14 @@
 		p.mu.Unlock()
 		return nil, errors.Wrap(err, "connect")
 	}
-	source := &headReader{source: conn}
-	return &Conn{pool: p, conn: conn, r: bufio.NewReaderSize(source, readBufferSize), source: source, idleTimeout: defaultIdleTimeout}, nil
+	return newConn(p, conn), nil
+}
+
+// newConn returns the connection of a pool over a network connection.
+func newConn(p *Pool, conn net.Conn) *Conn {
+	checked := validator.NewConn(conn)
+	source := &headReader{source: checked}
+	return &Conn{pool: p, conn: checked, r: bufio.NewReaderSize(source, readBufferSize), source: source, idleTimeout: defaultIdleTimeout}
 }
 
 // expireLocked closes the idle connections that have expired, or all of them if
--- /dev/null
+++ b/validator/transport_test.go
@@ -0,0 +1,81 @@
+package validator
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"savoryroad.dev/validator/violator"
+)
+
+// get sends a request and returns the body of its response.
+func get(t *testing.T, client *http.Client, url string) (string, error) {
+	t.Helper()
+	resp, err := client.Get(url)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+// Valid responses pass on a connection that carries several, with and without TLS.
+func TestTransportRejectsValidResponses(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusEarlyHints)
+		_, _ = io.WriteString(w, r.RemoteAddr)
+	})
+	for name, server := range map[string]*httptest.Server{"plain": httptest.NewServer(handler), "TLS": httptest.NewTLSServer(handler)} {
+		t.Run(name, func(t *testing.T) {
+			defer server.Close()
+			tr := &http.Transport{}
+			if ours, ok := server.Client().Transport.(*http.Transport); ok && ours.TLSClientConfig != nil {
+				tr.TLSClientConfig = ours.TLSClientConfig
+			}
+			client := &http.Client{Transport: NewTransport(tr)}
+			defer client.CloseIdleConnections()
+			first, err := get(t, client, server.URL)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for range 3 {
+				if next, err := get(t, client, server.URL); err != nil || next != first {
+					t.Errorf("from %s, %v, want the connection %s", next, err, first)
+				}
+			}
+		})
+	}
+}
+
+// An invalid response fails the request, also on a connection that has carried valid ones.
+func TestTransportPassesInvalidResponses(t *testing.T) {
+	for name, response := range violator.Responses(http.StatusOK, "", "body") {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/" {
+					return
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, response)
+			}))
+			defer server.Close()
+			client := &http.Client{Transport: NewTransport(&http.Transport{})}
+			defer client.CloseIdleConnections()
+			if _, err := get(t, client, server.URL+"/"); err != nil {
+				t.Fatal(err)
+			}
+			if body, err := get(t, client, server.URL+"/invalid"); !errors.Is(err, ErrInvalid) {
+				t.Errorf("body %q, %v", body, err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/validator/violator/violator.go
@@ -0,0 +1,76 @@
+// Package violator plays HTTP/1.1 servers whose responses violate the protocol. It is for
+// tests.
+package violator
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Server is an HTTP/1.1 server that decides about each byte of its responses, so that
+// they may violate the protocol.
+type Server struct {
+	// Addr is the address that it listens on.
+	Addr     net.Addr
+	listener net.Listener
+}
+
+// NewServer starts a server on the loopback interface that calls respond for each
+// connection, with the head of its first request. Body is what the client sends after it.
+// The connection is closed when respond returns.
+func NewServer(respond func(conn *net.TCPConn, r *http.Request, body io.Reader)) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "start server")
+	}
+	s := &Server{Addr: l.Addr(), listener: l}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				if r, err := http.ReadRequest(in); err == nil {
+					respond(conn.(*net.TCPConn), r, in)
+				}
+			}()
+		}
+	}()
+	return s, nil
+}
+
+// Close stops the server. Connections that are open stay so.
+func (s *Server) Close() { _ = s.listener.Close() }
+
+// Respond returns a function for NewServer that reads the request and sends a response.
+func Respond(response string) func(*net.TCPConn, *http.Request, io.Reader) {
+	return func(conn *net.TCPConn, r *http.Request, _ io.Reader) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			_, _ = io.WriteString(conn, response) // the client may have disconnected
+		}
+	}
+}
+
+// Responses returns responses that violate the protocol, by their fault. Apart from
+// that, each is a response with a status, some field lines and a body, and ends with the
+// connection at the latest.
+func Responses(status int, fields, body string) map[string]string {
+	sized := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
+	valid := fmt.Sprintf("HTTP/1.1 %d \r\n", status)
+	return map[string]string{
+		"status 000":                   "HTTP/1.1 000 \r\n" + sized,
+		"status 000 before a response": "HTTP/1.1 000 \r\n" + fields + "\r\n" + valid + sized,
+		"status 099 before a response": "HTTP/1.1 099 \r\n" + fields + "\r\n" + valid + sized,
+		"status +20 before a response": "HTTP/1.1 +20 \r\n" + fields + "\r\n" + valid + sized,
+		"status 600":                   "HTTP/1.1 600 \r\n" + sized,
+		"status 999":                   "HTTP/1.1 999 \r\n" + sized,
+	}
+}
