Reject responses with a blank in the name of a field

Seen by callers: an answer whose head has "Transfer-Encoding : chunked", or the same line behind a blank, comes with status 200 and the target's framing as its body: "4\r\nbody\r\n0\r\n\r\n". With " Transfer-Encoding: chunked" the line is also appended to the field before it; callers got the seal "t0.1 Transfer-Encoding: chunked". An answer with "X Y: z" is passed on as whole, less that line.

Cause: net/textproto accepts blanks in names and continues a line with the next one if that begins with a blank. A field that decides about the body is then not recognised.

Change: the validator's check of heads requires a token and a colon at the beginning of each line (RFC 9112, section 5), and so rejects a continued line, which a proxy must not forward as it is (section 5.2). The list of VMs and the status of entries are read through it as well.

--- a/balancer/vms.go
+++ b/balancer/vms.go
@@ -10,6 +10,7 @@
 
 	"savoryroad.dev/controller"
 	"savoryroad.dev/loader"
+	"savoryroad.dev/validator"
 )
 
 const (
@@ -19,6 +20,9 @@
 	vmsTimeout = 5 * time.Second
 )
 
+// vmsClient reads the platform's list.
+var vmsClient = &http.Client{Transport: validator.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+
 // VMList is the platform's list of VMs, as its URL answers. It lags.
 type VMList struct{ VMs []VM }
 
@@ -62,7 +66,7 @@
 	if err != nil {
 		return list, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := vmsClient.Do(req)
 	if err != nil {
 		return list, err
 	}
--- a/savoryctl/entry.go
+++ b/savoryctl/entry.go
@@ -15,11 +15,15 @@
 
 	"savoryroad.dev/balancer"
 	"savoryroad.dev/loader"
+	"savoryroad.dev/validator"
 )
 
 // entryTimeout limits a request to the operator endpoint of an entry.
 const entryTimeout = 5 * time.Second
 
+// entryClient sends requests to the operator endpoints of entries.
+var entryClient = &http.Client{Transport: validator.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+
 // statusCmd shows the status of entries, such as their revision in force.
 type statusCmd struct {
 	Entries []netip.AddrPort `required:"" env:"SAVORYROAD_ENTRIES" help:"Operator endpoints, comma separated."`
@@ -111,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := entryClient.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "request to entry")
 	}
--- a/transporter/fuzz_test.go
+++ b/transporter/fuzz_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Whatever bytes a target answers with, an exchange ends with a response to its own
@@ -23,6 +25,7 @@
 		"HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\nabc",
 		"HTTP/1.0 200\r\nKeep-Alive: timeout=-1, max=x\r\nContent-Length: -1\r\n\r\n",
 		"HTTP/1.1 000 \r\nId: 1\r\n\r\n" + response("1", "body"),
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 3\r\n\r\nabc",
 		"\x00\xff",
 	} {
 		f.Add([]byte(seed), true)
@@ -53,6 +56,11 @@
 			if a.Status < http.StatusOK && a.Status != http.StatusSwitchingProtocols || a.Status >= 600 {
 				t.Errorf("status %d", a.Status)
 			}
+			for name := range a.Header {
+				if !httpguts.ValidHeaderFieldName(name) {
+					t.Errorf("field %q", name)
+				}
+			}
 			if id := a.Header.Get("Id"); id != "" && id != "1" {
 				t.Errorf("the response of request %q", id)
 			}
--- a/validator/head.go
+++ b/validator/head.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 //go:generate go tool stringer -type=headState -linecomment -output=head_string.go
@@ -21,7 +22,8 @@
 	inStatus     // the status
 	inReason     // the reason phrase
 	atLineStart  // the beginning of a line
-	inField      // a field
+	inName       // the name of a field
+	inValue      // the value of a field
 	// atLastByte is behind the carriage return of the empty line that ends the head.
 	atLastByte // the last line
 )
@@ -73,18 +75,29 @@
 		}
 	case inStatus:
 		return h.advanceStatus(b)
-	case inReason, inField:
+	case inReason, inValue:
 		if b == '\n' {
 			h.state = atLineStart
 		}
 	case atLineStart:
-		switch b {
-		case '\r':
+		switch {
+		case b == '\r':
 			h.state = atLastByte
-		case '\n':
+		case b == '\n':
 			h.end()
+		case !httpguts.IsTokenRune(rune(b)):
+			// A blank would continue the line before. Servers must not send that, and
+			// a proxy must not forward it (RFC 9112, section 5.2).
+			return h.unexpected(b)
 		default:
-			h.state = inField
+			h.state = inName
+		}
+	case inName:
+		switch {
+		case b == ':':
+			h.state = inValue
+		case !httpguts.IsTokenRune(rune(b)):
+			return h.unexpected(b)
 		}
 	case atLastByte:
 		if b != '\n' {
--- a/validator/head_string.go
+++ b/validator/head_string.go
@@ -14,13 +14,14 @@
 	_ = x[inStatus-3]
 	_ = x[inReason-4]
 	_ = x[atLineStart-5]
-	_ = x[inField-6]
-	_ = x[atLastByte-7]
+	_ = x[inName-6]
+	_ = x[inValue-7]
+	_ = x[atLastByte-8]
 }
 
-const _headState_name = "the endthe protocol versionthe space before the statusthe statusthe reason phrasethe beginning of a linea fieldthe last line"
+const _headState_name = "the endthe protocol versionthe space before the statusthe statusthe reason phrasethe beginning of a linethe name of a fieldthe value of a fieldthe last line"
 
-var _headState_index = [...]uint8{0, 7, 27, 54, 64, 81, 104, 111, 124}
+var _headState_index = [...]uint8{0, 7, 27, 54, 64, 81, 104, 123, 143, 156}
 
 func (i headState) String() string {
 	idx := int(i) - 0
--- a/validator/violator/violator.go
+++ b/validator/violator/violator.go
@@ -64,13 +64,23 @@
 // connection at the latest.
 func Responses(status int, fields, body string) map[string]string {
 	sized := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
+	chunked := fmt.Sprintf("chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	valid := fmt.Sprintf("HTTP/1.1 %d \r\n", status)
 	return map[string]string{
-		"status 000":                   "HTTP/1.1 000 \r\n" + sized,
-		"status 000 before a response": "HTTP/1.1 000 \r\n" + fields + "\r\n" + valid + sized,
-		"status 099 before a response": "HTTP/1.1 099 \r\n" + fields + "\r\n" + valid + sized,
-		"status +20 before a response": "HTTP/1.1 +20 \r\n" + fields + "\r\n" + valid + sized,
-		"status 600":                   "HTTP/1.1 600 \r\n" + sized,
-		"status 999":                   "HTTP/1.1 999 \r\n" + sized,
+		"status 000":                    "HTTP/1.1 000 \r\n" + sized,
+		"status 000 before a response":  "HTTP/1.1 000 \r\n" + fields + "\r\n" + valid + sized,
+		"status 099 before a response":  "HTTP/1.1 099 \r\n" + fields + "\r\n" + valid + sized,
+		"status +20 before a response":  "HTTP/1.1 +20 \r\n" + fields + "\r\n" + valid + sized,
+		"status 600":                    "HTTP/1.1 600 \r\n" + sized,
+		"status 999":                    "HTTP/1.1 999 \r\n" + sized,
+		"blank in a name":               valid + "X Y: z\r\n" + sized,
+		"blank before a colon":          valid + fields + "Transfer-Encoding : " + chunked,
+		"blank before a name":           valid + fields + " Transfer-Encoding: " + chunked,
+		"tab before a name":             valid + fields + "\tTransfer-Encoding: " + chunked,
+		"blank in an informational one": "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + valid + sized,
+		"tab in a name":                 valid + "X\tY: z\r\n" + sized,
+		"control byte in a name":        valid + "X\x01Y: z\r\n" + sized,
+		"NUL in a name":                 valid + "X\x00Y: z\r\n" + sized,
+		"no name":                       valid + ": z\r\n" + sized,
 	}
 }
