Take a response for incomplete if its connection was reset under a write

Seen by callers: a target answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written. The caller gets that part, with a Content-Length of its own from the gateway, as a complete answer. The store's client takes the same for an acknowledged write.

Cause: the system reports a reset once, to the first call that finds it. If that is the write of the upload, a read finds the bytes that were received and then the end of the stream, as after a proper close. That is where a body without a length ends. The transporter only noted not to use the connection again; net/http's transport does the same.

Change: validator.Conn remembers the error of a failed write, and a read that finds the end of the stream returns it. A write that is under way may have got the error and not yet returned, so the read gives it up and waits for it first; no response can follow the end of the stream. Writes that the client ends itself, by a deadline or by closing, don't count.

--- a/forwarder/broken_answer_test.go
+++ b/forwarder/broken_answer_test.go
@@ -4,9 +4,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"savoryroad.dev/forwarder"
+	"savoryroad.dev/loader"
 	"savoryroad.dev/validator/violator"
 )
 
@@ -40,3 +42,30 @@
 		})
 	}
 }
+
+// A backend server that answers a long upload without a length and resets the connection
+// has not answered it: the body may be incomplete.
+func TestUploadResetMidwayLooksComplete(t *testing.T) {
+	const uploads = 40
+	f := newFixture(t, "")
+	address := startRaw(t, violator.ResetMidway("HTTP/1.1 200 OK\r\n\r\npart"))
+	// Unlike that of the fixture, this configuration has room for a body that fills the
+	// buffers of a connection.
+	cfg, findings := loader.Render(loader.MustParse("base", "Entries: 1\nDataCentres: {Here: {}}\nServices:\n  S:"+routes+
+		"    Targets: {t: {Address: \""+address+"\", DataCentre: Here}}\n"), loader.Document{})
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	f.Install(2, cfg)
+	body := strings.Repeat("b", 16<<20)
+	complete := 0
+	for range uploads {
+		resp, _, err := do(t, http.MethodPut, f.url+"/put", body)
+		if err == nil && resp.StatusCode == http.StatusOK {
+			complete++
+		}
+	}
+	if complete > 0 {
+		t.Errorf("%d of %d parts of an answer look complete", complete, uploads)
+	}
+}
--- a/gateway/broken_answer_test.go
+++ b/gateway/broken_answer_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"testing"
@@ -56,3 +57,18 @@
 		}
 	}
 }
+
+// A target that answers a long upload without a length and resets the connection has not
+// answered it: the body may be incomplete.
+func TestUploadResetMidwayLooksComplete(t *testing.T) {
+	const uploads = 40
+	f := newFleet(t, 1, 1)
+	f.setBehaviour(standin.ResetMidway)
+	body := bytes.Repeat([]byte("b"), 6<<20)
+	for i := range uploads {
+		got := f.call(f.entries[0], http.MethodPost, "/upload/", fmt.Sprint("r", i), body)
+		if got.status == http.StatusOK && got.err == nil {
+			t.Errorf("upload %d: a part of an answer looks complete: %+v", i, got)
+		}
+	}
+}
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -10,8 +10,11 @@
 package validator
 
 import (
+	"io"
 	"net"
+	"os"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -21,13 +24,19 @@
 var ErrInvalid = errors.New("invalid response")
 
 // Conn is a client's connection to an HTTP/1.1 server. Its reads fail once a response has
-// violated the protocol.
+// violated the protocol, and they return [io.EOF] only if the server has ended the
+// connection properly: a response without a length ends there.
 type Conn struct {
 	net.Conn
 
 	// mu guards head: a client may announce a response while it waits for bytes.
 	mu   sync.Mutex
 	head head
+
+	// writeMu is held during writes. It guards writeErr.
+	writeMu sync.Mutex
+	// writeErr is the first error of a write that the client has not caused itself.
+	writeErr error
 }
 
 // NewConn returns a connection that checks the responses received over another one. The
@@ -53,5 +62,34 @@
 	if invalid != nil {
 		return 0, invalid
 	}
+	if err == io.EOF {
+		err = c.endOfStream()
+	}
 	return n, err
 }
+
+// Write implements [io.Writer].
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && c.writeErr == nil && !errors.IsAny(err, os.ErrDeadlineExceeded, net.ErrClosed) {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// endOfStream returns the error of a read that has found no more bytes. The system reports
+// a reset only once: if a write gets the error, a read finds the end of the stream, as if
+// the server had closed the connection.
+func (c *Conn) endOfStream() error {
+	// A write that is under way may have got the error. It must not wait for a server
+	// that doesn't read; no further response can follow.
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if c.writeErr != nil {
+		return errors.Wrap(c.writeErr, "connection ended after a failed write")
+	}
+	return io.EOF
+}
--- a/validator/violator/violator.go
+++ b/validator/violator/violator.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -59,6 +60,20 @@
 	}
 }
 
+// resetDelay is the time from the beginning of a response to the reset of its connection.
+// The client has read it by then, and waits to send more of its request.
+const resetDelay = 20 * time.Millisecond
+
+// ResetMidway returns a function for NewServer that sends the beginning of a response at
+// once, and resets the connection while the body of the request is on its way.
+func ResetMidway(response string) func(*net.TCPConn, *http.Request, io.Reader) {
+	return func(conn *net.TCPConn, _ *http.Request, _ io.Reader) {
+		_, _ = io.WriteString(conn, response) // the client may have disconnected
+		time.Sleep(resetDelay)
+		_ = conn.SetLinger(0) // unread bytes reset the connection as well
+	}
+}
+
 // Responses returns responses that violate the protocol, by their fault. Apart from
 // that, each is a response with a status, some field lines and a body, and ends with the
 // connection at the latest.
