Test that a part of a peer's answer is an error

Answers of peers already hold: each is one message on a QUIC stream of its own, and a message with missing or further bytes isn't decoded, although its stream ends properly.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
 
 	"savoryroad.dev/deduplicator"
 	"savoryroad.dev/emulator"
@@ -95,6 +97,47 @@
 	}
 }
 
+// An answer of which a part is missing, or that has bytes behind its end, is an error,
+// although its stream ends properly.
+func TestPartOfAnswerIsAnswer(t *testing.T) {
+	keys := signed(t, newAuthority(t), "e", time.Hour)
+	whole, err := cbor.Marshal(messenger.Answer{Version: messenger.Version, Claim: messenger.NewClaimAnswer(deduplicator.Granted{})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := quic.ListenAddr("127.0.0.1:0", keys.ServerTLS(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	answers := make(chan []byte, 1)
+	go func() {
+		conn, err := l.Accept(t.Context())
+		if err != nil {
+			return // the test has ended
+		}
+		for data := range answers {
+			stream, err := conn.AcceptStream(t.Context())
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, stream)
+			_, _ = stream.Write(data) // the client may have left
+			_ = stream.Close()
+		}
+	}()
+	defer close(answers)
+	c := messenger.NewClient(keys.ClientTLS())
+	defer c.Close()
+	for n := range len(whole) + 2 {
+		answers <- append(whole[:len(whole):len(whole)], 0)[:n]
+		a, err := c.Ask(t.Context(), l.Addr().(*net.UDPAddr).AddrPort(), messenger.Request{Claim: &deduplicator.Claim{Key: "k"}})
+		if (err == nil) != (n == len(whole)) {
+			t.Errorf("%d of %d bytes: got %+v, %v", n, len(whole), a, err)
+		}
+	}
+}
+
 // A newer version's message with unknown fields is read, and an answer of an
 // unknown kind grants nothing.
 func TestUnknownFieldsAreSkipped(t *testing.T) {
