Reject a switch of protocols that no request has asked for

Seen by callers: of a target that answers 101, the gateway and the forwarder forward 101 as an answer, in the forwarder as Answered. A client may take what follows on its connection for another protocol. A write to the store that is answered so counts as refused.

Cause: the transporter and net/http take 101 for final. No request asks for a switch of protocols, as Upgrade is not forwarded; a server must not switch then (RFC 9110, section 7.8).

Change: the validator's check of heads rejects the status, for all readers. The transporter's own cases of 101 are gone with it.

--- a/transporter/exchange.go
+++ b/transporter/exchange.go
@@ -213,8 +213,7 @@
 	return nil, errors.New("responses carry IDs of other requests")
 }
 
-// readResponse reads the next response that is not informational (1xx); 101
-// counts as final.
+// readResponse reads the next response that is not informational (1xx).
 func (c *Conn) readResponse(r Request) (*Answer, error) {
 	// Whether a response has a body depends on the request's method.
 	req := &http.Request{Method: r.Method}
@@ -225,7 +224,7 @@
 		return nil, errors.Wrap(err, "read answer")
 	}
 	resp, err := http.ReadResponse(c.r, req)
-	for err == nil && resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+	for err == nil && resp.StatusCode < http.StatusOK {
 		resp, err = http.ReadResponse(c.r, req)
 	}
 	if err != nil {
@@ -244,7 +243,7 @@
 // recordKeepAlive records from a response whether the target keeps the
 // connection open, and with which idle timeout.
 func (c *Conn) recordKeepAlive(resp *http.Response) {
-	if resp.Close || resp.StatusCode == http.StatusSwitchingProtocols {
+	if resp.Close {
 		c.mustClose = true
 	}
 	for _, param := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
--- a/transporter/fuzz_test.go
+++ b/transporter/fuzz_test.go
@@ -53,7 +53,7 @@
 			t.Fatalf("%+v, %v", a, err)
 		}
 		if a != nil {
-			if a.Status < http.StatusOK && a.Status != http.StatusSwitchingProtocols || a.Status >= 600 {
+			if a.Status < http.StatusOK || a.Status >= 600 {
 				t.Errorf("status %d", a.Status)
 			}
 			for name := range a.Header {
--- a/validator/head.go
+++ b/validator/head.go
@@ -121,6 +121,9 @@
 	if h.status < http.StatusContinue || h.status > maxStatus {
 		return errors.Newf("status %03d", h.status)
 	}
+	if h.status == http.StatusSwitchingProtocols {
+		return errors.New("a switch of protocols that no request has asked for")
+	}
 	switch b {
 	case ' ', '\r':
 		h.state = inReason
@@ -135,7 +138,7 @@
 // end moves on to the next head if this one is that of an informational response.
 func (h *head) end() {
 	next := head{}
-	if h.status < http.StatusOK && h.status != http.StatusSwitchingProtocols {
+	if h.status < http.StatusOK {
 		next.state = inVersion
 	}
 	*h = next
--- a/validator/head_test.go
+++ b/validator/head_test.go
@@ -62,11 +62,12 @@
 	}
 }
 
-// Every status that is no number from 100 to 599 is invalid.
+// Every status that is no number from 100 to 599 is invalid, and so is a switch of
+// protocols: nobody asks for one.
 func TestInvalidStatusPasses(t *testing.T) {
 	for status := range 1000 {
 		_, err := checkHead(fmt.Sprintf("HTTP/1.1 %03d \r\n\r\n", status), 100)
-		if valid := status >= 100 && status < 600; (err == nil) != valid {
+		if valid := status >= 100 && status < 600 && status != http.StatusSwitchingProtocols; (err == nil) != valid {
 			t.Errorf("status %03d: %v", status, err)
 		}
 	}
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -7,6 +7,7 @@
 //	client := &http.Client{Transport: validator.NewTransport(&http.Transport{})}
 //
 // A client with a parser of its own uses a [Conn], and tells it when a response is due.
+// Clients must not ask for a switch of protocols.
 package validator
 
 import (
--- a/validator/violator/violator.go
+++ b/validator/violator/violator.go
@@ -88,6 +88,8 @@
 		"status +20 before a response":  "HTTP/1.1 +20 \r\n" + fields + "\r\n" + valid + sized,
 		"status 600":                    "HTTP/1.1 600 \r\n" + sized,
 		"status 999":                    "HTTP/1.1 999 \r\n" + sized,
+		"status 101":                    "HTTP/1.1 101 Switching Protocols\r\n" + sized,
+		"status 101 of an upgrade":      "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n" + sized,
 		"blank in a name":               valid + "X Y: z\r\n" + sized,
 		"blank before a colon":          valid + fields + "Transfer-Encoding : " + chunked,
 		"blank before a name":           valid + fields + " Transfer-Encoding: " + chunked,
