--- a/validator/head.go
+++ b/validator/head.go
@@ -14,18 +14,18 @@
 
 const (
 	// headEnded is the position before and behind a head.
-	headEnded headState = iota // the end
+	headEnded headState = iota // behind the end
 	// inVersion is in the protocol version, at the beginning of the status line.
-	inVersion // the protocol version
+	inVersion // in the protocol version
 	// beforeStatus is in the space behind it. Parsers allow more than one.
-	beforeStatus // the space before the status
-	inStatus     // the status
-	inReason     // the reason phrase
-	atLineStart  // the beginning of a line
-	inName       // the name of a field
-	inValue      // the value of a field
+	beforeStatus // before the status
+	inStatus     // in the status
+	inReason     // in the reason phrase
+	atLineStart  // at the beginning of a line
+	inName       // in the name of a field
+	inValue      // in the value of a field
 	// atLastByte is behind the carriage return of the empty line that ends the head.
-	atLastByte // the last line
+	atLastByte // in the last line
 )
 
 const (
@@ -52,7 +52,7 @@
 			break
 		}
 		if err := h.advance(b); err != nil {
-			h.err = errors.Mark(err, ErrInvalid)
+			h.err = errors.Mark(errors.Wrap(err, "invalid response"), ErrInvalid)
 		}
 	}
 	return h.err
@@ -145,4 +145,4 @@
 }
 
 // unexpected returns the error for a byte that isn't allowed at its position.
-func (h *head) unexpected(b byte) error { return errors.Newf("byte %q in %s", b, h.state) }
+func (h *head) unexpected(b byte) error { return errors.Newf("byte %q %s", b, h.state) }
--- a/validator/head_string.go
+++ b/validator/head_string.go
@@ -19,9 +19,9 @@
 	_ = x[atLastByte-8]
 }
 
-const _headState_name = "the endthe protocol versionthe space before the statusthe statusthe reason phrasethe beginning of a linethe name of a fieldthe value of a fieldthe last line"
+const _headState_name = "behind the endin the protocol versionbefore the statusin the statusin the reason phraseat the beginning of a linein the name of a fieldin the value of a fieldin the last line"
 
-var _headState_index = [...]uint8{0, 7, 27, 54, 64, 81, 104, 123, 143, 156}
+var _headState_index = [...]uint8{0, 14, 37, 54, 67, 87, 113, 135, 158, 174}
 
 func (i headState) String() string {
 	idx := int(i) - 0
--- a/validator/head_test.go
+++ b/validator/head_test.go
@@ -55,7 +55,7 @@
 					t.Errorf("reads of %d bytes: %v", size, err)
 				}
 				if test.valid && h.state != headEnded {
-					t.Errorf("reads of %d bytes: the head ends in %s", size, h.state)
+					t.Errorf("reads of %d bytes: the head is %s", size, h.state)
 				}
 			}
 		})
