Test broken answers beside free targets, on kept connections and in values

The tests of callers had one target each, so they could not see a call that is sent again; they now have two and three. Each test also checks that the connection is closed or the call sent once.

--- a/forwarder/broken_answer_test.go
+++ b/forwarder/broken_answer_test.go
@@ -1,8 +1,10 @@
 package forwarder_test
 
 import (
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"savoryroad.dev/forwarder"
@@ -22,13 +24,19 @@
 }
 
 // An answer that violates the protocol is none: the caller learns that the outcome is
-// unknown, and the backend server's capacity is free again.
+// unknown, the call isn't sent again, although another backend server is free, and the
+// capacity of the one that has sent the answer is free again.
 func TestInvalidAnswersReachCallers(t *testing.T) {
 	for name, response := range violator.Responses(http.StatusOK, "X-Answer: 1\r\n", "body") {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, "", startRaw(t, violator.Respond(response)))
-			// Three calls are more than a target of unknown size has room for at once.
-			for range 3 {
+			var sends atomic.Int64
+			respond := func(conn *net.TCPConn, r *http.Request) {
+				sends.Add(1)
+				violator.Respond(response)(conn, r)
+			}
+			f := newFixture(t, "", startRaw(t, respond), startRaw(t, respond))
+			// These calls are more than two targets of unknown size have room for at once.
+			for i := range int64(6) {
 				resp, body, err := do(t, http.MethodPost, f.url+"/buy", "")
 				if err != nil {
 					t.Fatal(err)
@@ -36,6 +44,9 @@
 				if got := resp.Header.Get(forwarder.OutcomeHeader); resp.StatusCode != http.StatusBadGateway || got != forwarder.OutcomeUnknown.String() {
 					t.Errorf("got %d %s %q %v", resp.StatusCode, got, body, resp.Header)
 				}
+				if sends.Load() != i+1 {
+					t.Errorf("%d calls were sent %d times", i+1, sends.Load())
+				}
 			}
 		})
 	}
--- a/gateway/broken_answer_test.go
+++ b/gateway/broken_answer_test.go
@@ -12,19 +12,22 @@
 )
 
 // An answer that violates the protocol is none: the caller gets a failure that bears no
-// seal and promises nothing, and a call that isn't idempotent isn't sent again.
+// seal and promises nothing, and a call that isn't idempotent isn't sent again, although
+// other targets are free.
 func TestInvalidAnswersReachCallers(t *testing.T) {
-	f := newFleet(t, 1, 1)
+	f := newFleet(t, 1, 3)
 	invalid := func(id string) map[string]string {
 		return violator.Responses(http.StatusOK, fmt.Sprintf("Request-Id: %s\r\nResponse-Seal: t0.%s\r\n", id, id), "body")
 	}
 	for name := range invalid("") {
-		f.targets[0].SetRawResponse(func(r *http.Request) string {
-			if r.URL.Path == "/health" {
-				return ""
-			}
-			return invalid(r.Header.Get("Request-Id"))[name]
-		})
+		for _, target := range f.targets {
+			target.SetRawResponse(func(r *http.Request) string {
+				if r.URL.Path == "/health" {
+					return ""
+				}
+				return invalid(r.Header.Get("Request-Id"))[name]
+			})
+		}
 		for _, path := range []string{"/safe/", "/unsafe/", "/upload/"} {
 			var id string
 			var got reply
@@ -66,16 +69,23 @@
 }
 
 // A target that answers a long upload without a length and resets the connection has not
-// answered it: the body may be incomplete.
+// answered it: the body may be incomplete. It may have run, so it isn't sent again, nor
+// refused as one that has not.
 func TestUploadResetMidwayLooksComplete(t *testing.T) {
 	const uploads = 40
-	f := newFleet(t, 1, 1)
+	f := newFleet(t, 1, 3)
 	f.setBehaviour(standin.ResetMidway)
-	body := bytes.Repeat([]byte("b"), 6<<20)
-	for i := range uploads {
-		got := f.call(f.entries[0], http.MethodPost, "/upload/", fmt.Sprint("r", i), body)
-		if got.status == http.StatusOK && got.err == nil {
-			t.Errorf("upload %d: a part of an answer looks complete: %+v", i, got)
+	for _, size := range []int{900 << 10, 6 << 20} {
+		body := bytes.Repeat([]byte("b"), size)
+		for i := range uploads {
+			id := fmt.Sprintf("r-%d-%d", size, i)
+			got := f.call(f.entries[0], http.MethodPost, "/upload/", id, body)
+			if got.status == http.StatusOK && got.err == nil {
+				t.Errorf("%s: a part of an answer looks complete: %+v", id, got)
+			}
+			if n := f.runCount(id); n > 1 || n == 1 && platform.PromisesNotRun(got.status) {
+				t.Errorf("%s ran %d times: %+v", id, n, got)
+			}
 		}
 	}
 }
--- a/validator/head_test.go
+++ b/validator/head_test.go
@@ -41,7 +41,11 @@
 		"status -00":           {"HTTP/1.1 -00 OK\r\n\r\n", false},
 		"text behind the head": {"HTTP/1.1 200 OK\r\n\rA", false},
 	}
+	leftToParser := violator.InvalidValues(http.StatusOK, "A: b\r\n", "body")
 	for name, data := range violator.Responses(http.StatusOK, "A: b\r\n", "body") {
+		if _, ok := leftToParser[name]; ok {
+			continue
+		}
 		tests[name] = struct {
 			data  string
 			valid bool
--- a/validator/transport_test.go
+++ b/validator/transport_test.go
@@ -51,10 +51,13 @@
 	}
 }
 
-// An invalid response fails the request, also on a connection that has carried valid ones.
+// An invalid response fails the request, also on a connection that has carried valid ones,
+// and ends the connection, although the server keeps it open.
 func TestTransportPassesInvalidResponses(t *testing.T) {
+	leftToParser := violator.InvalidValues(http.StatusOK, "", "body")
 	for name, response := range violator.Responses(http.StatusOK, "", "body") {
 		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{})
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == "/" {
 					return
@@ -66,6 +69,8 @@
 				}
 				defer conn.Close()
 				_, _ = io.WriteString(conn, response)
+				_, _ = io.Copy(io.Discard, conn) // until the client closes the connection
+				close(closed)
 			}))
 			defer server.Close()
 			client := &http.Client{Transport: NewTransport(&http.Transport{})}
@@ -73,9 +78,11 @@
 			if _, err := get(t, client, server.URL+"/"); err != nil {
 				t.Fatal(err)
 			}
-			if body, err := get(t, client, server.URL+"/invalid"); !errors.Is(err, ErrInvalid) {
-				t.Errorf("body %q, %v", body, err)
+			body, err := get(t, client, server.URL+"/invalid")
+			if _, ok := leftToParser[name]; err == nil || !ok && !errors.Is(err, ErrInvalid) {
+				t.Fatalf("body %q, %v", body, err)
 			}
+			<-closed
 		})
 	}
 }
--- a/validator/violator/violator.go
+++ b/validator/violator/violator.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"time"
@@ -81,7 +82,7 @@
 	sized := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
 	chunked := fmt.Sprintf("chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	valid := fmt.Sprintf("HTTP/1.1 %d \r\n", status)
-	return map[string]string{
+	responses := map[string]string{
 		"status 000":                    "HTTP/1.1 000 \r\n" + sized,
 		"status 000 before a response":  "HTTP/1.1 000 \r\n" + fields + "\r\n" + valid + sized,
 		"status 099 before a response":  "HTTP/1.1 099 \r\n" + fields + "\r\n" + valid + sized,
@@ -92,6 +93,7 @@
 		"status 101 of an upgrade":      "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n" + sized,
 		"blank in a name":               valid + "X Y: z\r\n" + sized,
 		"blank before a colon":          valid + fields + "Transfer-Encoding : " + chunked,
+		"blank before a length's colon": fmt.Sprintf("%s%sContent-Length : %d\r\n\r\n%s", valid, fields, len(body), body),
 		"blank before a name":           valid + fields + " Transfer-Encoding: " + chunked,
 		"tab before a name":             valid + fields + "\tTransfer-Encoding: " + chunked,
 		"blank in an informational one": "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + valid + sized,
@@ -100,4 +102,20 @@
 		"NUL in a name":                 valid + "X\x00Y: z\r\n" + sized,
 		"no name":                       valid + ": z\r\n" + sized,
 	}
+	maps.Copy(responses, InvalidValues(status, fields, body))
+	return responses
+}
+
+// InvalidValues returns those of Responses that have a control byte in the value of a
+// field. The parser of net/http rejects them.
+func InvalidValues(status int, fields, body string) map[string]string {
+	sized := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
+	valid := fmt.Sprintf("HTTP/1.1 %d \r\n", status)
+	return map[string]string{
+		"control byte in a value":  valid + "X: y\x01z\r\n" + sized,
+		"NUL in a value":           valid + "X: y\x00z\r\n" + sized,
+		"DEL in a value":           valid + "X: y\x7fz\r\n" + sized,
+		"CR in a value":            valid + "X: y\rz\r\n" + sized,
+		"control byte in a length": fmt.Sprintf("%s%sContent-Length: %d\x0b\r\n\r\n%s", valid, fields, len(body), body),
+	}
 }
