--- a/review/lab-3/endless.go
+++ b/review/lab-3/endless.go
@@ -14,7 +14,7 @@
 	// answers, for a time.
 	endlessShare, endlessPart = 0.7, 0.4
 	endlessTime               = 6 * time.Second
-	endlessRounds             = 3
+	endlessRounds             = 5
 	// endlessFirst is the part of a head without end that comes at once, in bytes.
 	endlessFirst = 62 << 10
 	// endlessClients is the number of clients of each entry.
@@ -74,7 +74,7 @@
 		for _, t := range f.targets {
 			t.garble.Store(nil)
 		}
-		time.Sleep(10 * time.Second)
+		time.Sleep(8 * time.Second)
 	}
 	close(done)
 	wg.Wait()
--- a/review/lab-3/heads.go
+++ b/review/lab-3/heads.go
@@ -45,6 +45,12 @@
 
 // runHeads sends heads without end behind ordinary requests.
 func runHeads(rec *record, trouble bool) (bool, error) {
+	endless := endlessHead()
+	return runCrowd(rec, headsCrowd, func(e *entry, l *ledger) { callBefore(e, l, endless, trouble) })
+}
+
+// runCrowd lets a crowd call each entry, beside ordinary clients.
+func runCrowd(rec *record, size int, crowdCall func(*entry, *ledger)) (bool, error) {
 	l := newLedger(rec)
 	f, err := newFleet(rec, options{entries: 2, memoryMB: 284, routes: map[string]map[string]any{
 		"r-read": route("/balance/", "safe", "balances", 1500*time.Millisecond, 300*time.Millisecond),
@@ -77,17 +83,16 @@
 	}
 	time.Sleep(5 * time.Second) // contact
 	until := time.Now().Add(headsTime)
-	second := endlessHead()
 	var crowd sync.WaitGroup
 	for _, e := range f.entries {
-		for range headsCrowd {
+		for range size {
 			crowd.Go(func() {
 				for time.Now().Before(until) {
 					if !e.ready.Load() {
 						time.Sleep(50 * time.Millisecond)
 						continue
 					}
-					crowdCall(e, l, second, trouble)
+					crowdCall(e, l)
 					time.Sleep(100 * time.Millisecond)
 				}
 			})
@@ -111,9 +116,9 @@
 	return ended >= 2 || l.lost > 3, nil
 }
 
-// crowdCall sends an ordinary request, and behind it a head without end, or without the
+// callBefore sends an ordinary request, and behind it a head without end, or without the
 // disruption a second ordinary request. It stays until the entry closes the connection.
-func crowdCall(e *entry, l *ledger, endless string, trouble bool) {
+func callBefore(e *entry, l *ledger, endless string, trouble bool) {
 	c, err := dial(e)
 	if err != nil {
 		return
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -25,6 +25,7 @@
 	"tenant":   runTenant,
 	"pipeline": runPipeline,
 	"endless":  runEndless,
+	"ahead":    runAhead,
 }
 
 func main() {
