--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -26,6 +26,7 @@
 	"pipeline": runPipeline,
 	"endless":  runEndless,
 	"ahead":    runAhead,
+	"linefeed": runLinefeed,
 }
 
 func main() {
--- a/review/lab-3/target.go
+++ b/review/lab-3/target.go
@@ -26,6 +26,8 @@
 	garble atomic.Pointer[func(w http.ResponseWriter, r *http.Request) bool]
 	// ran is called when a request begins to run.
 	ran func(t *target, r *http.Request)
+	// received is called with the body then; nil if nobody asks.
+	received func(t *target, r *http.Request, body []byte)
 }
 
 func newTarget(rec *record, id, service, zone string, slots int, work time.Duration) (*target, error) {
@@ -90,6 +92,9 @@
 	if t.ran != nil {
 		t.ran(t, r)
 	}
+	if t.received != nil {
+		t.received(t, r, body)
+	}
 	select {
 	case <-time.After(t.work):
 	case <-r.Context().Done():
