--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -22,10 +22,8 @@
 
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"heads":    runHeads,
-	"tenant":   runTenant,
-	"pipeline": runPipeline,
 	"endless":  runEndless,
-	"ahead":    runAhead,
+	"early":    runEarly,
 	"linefeed": runLinefeed,
 }
 
