--- a/review/lab-3/fleet.go
+++ b/review/lab-3/fleet.go
@@ -26,12 +26,18 @@
 	operatorPort = 9100
 )
 
-// restartDelay is the time from the end of a process to its next start.
-const restartDelay = 500 * time.Millisecond
+// defaultRestartDelay is the time from the end of a process to its next start, unless the
+// options say otherwise, and grace the time from SIGTERM to SIGKILL.
+const (
+	defaultRestartDelay = 500 * time.Millisecond
+	grace               = 6 * time.Second
+)
 
 // options are the figures of a deployment.
 type options struct {
 	entries, memoryMB int
+	// down is the time from the end of a process to its next start; 0 means the default.
+	down time.Duration
 	// tenants and bounds are added to the configuration and the settings.
 	tenants map[string]any
 	bounds  string
@@ -46,6 +52,8 @@
 	store   *store
 	targets []*target
 	entries []*entry
+	// started is set once all entries have been ready.
+	started bool
 	stop    chan struct{}
 }
 
@@ -127,7 +135,7 @@
 	for i := range f.options.entries {
 		e := &entry{fleet: f, name: fmt.Sprintf("front-hobart-%d", i+1), ip: fmt.Sprintf("%s%d", base, i+1)}
 		e.settings = filepath.Join(f.dir, e.name+".toml")
-		if err := os.WriteFile(e.settings, []byte(f.settingsOf(e, base, l.Addr().String())), 0o600); err != nil {
+		if err := e.writeSettings(base, l.Addr().String()); err != nil {
 			return err
 		}
 		f.entries = append(f.entries, e)
@@ -144,6 +152,13 @@
 			}
 		}
 		if ready == len(f.entries) {
+			// The next starts are not the first of the whole system.
+			f.started = true
+			for _, e := range f.entries {
+				if err := e.writeSettings(base, l.Addr().String()); err != nil {
+					return err
+				}
+			}
 			return nil
 		}
 		if time.Since(begun) > 20*time.Second {
@@ -190,6 +205,14 @@
 	return true
 }
 
+// writeSettings replaces the settings file of the entry at once.
+func (e *entry) writeSettings(base, store string) error {
+	if err := os.WriteFile(e.settings+".new", []byte(e.fleet.settingsOf(e, base, store)), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(e.settings+".new", e.settings)
+}
+
 func (f *fleet) settingsOf(e *entry, base, store string) string {
 	var seeds []string
 	for i := range min(3, f.options.entries) {
@@ -208,7 +231,7 @@
 zone = "hobart"
 region = "tas"
 lossBudgeted = false
-bootstrap = true
+bootstrap = %v
 [localEntity.limits]
 cpuShare = 0.32
 cores = 1
@@ -269,7 +292,7 @@
 evac = "5000ms"
 recover = "15s"
 probesPerS = 60
-%s`, e.name, e.ip, f.memoryMB, internalPort, internalPort+15, strings.Join(seeds, ","),
+%s`, e.name, e.ip, !f.started, f.memoryMB, internalPort, internalPort+15, strings.Join(seeds, ","),
 		e.ip, frontPort, e.ip, readyPort, e.ip, controlPort, store, partitions, bounds)
 }
 
@@ -314,7 +337,7 @@
 		return
 	}
 	e.fleet.rec.note("end %s: %v", e.name, err)
-	time.Sleep(restartDelay)
+	time.Sleep(e.fleet.restartDelay())
 	if err := e.start(); err != nil {
 		e.fleet.rec.note("start %s: %v", e.name, err)
 	}
@@ -387,6 +410,30 @@
 // front is the address at which clients connect to the entry.
 func (e *entry) front() string { return fmt.Sprintf("%s:%d", e.ip, frontPort) }
 
+func (o options) restartDelay() time.Duration {
+	if o.down > 0 {
+		return o.down
+	}
+	return defaultRestartDelay
+}
+
+// remove stops the entry for good, as the platform does.
+func (e *entry) remove() {
+	e.fleet.rec.note("SIGTERM %s, which is removed", e.name)
+	e.mu.Lock()
+	e.closed = true
+	exited := e.exited
+	e.mu.Unlock()
+	e.signal(syscall.SIGTERM)
+	go func() {
+		select {
+		case <-exited:
+		case <-time.After(grace):
+			e.signal(syscall.SIGKILL)
+		}
+	}()
+}
+
 // signal sends a signal to the process of the entry.
 func (e *entry) signal(s syscall.Signal) {
 	e.mu.Lock()
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -25,6 +25,7 @@
 	"endless":  runEndless,
 	"early":    runEarly,
 	"linefeed": runLinefeed,
+	"recover":  runRecover,
 }
 
 func main() {
