--- a/review/lab-3/endless.go
+++ b/review/lab-3/endless.go
@@ -92,7 +92,7 @@
 
 // endless answers a part of the requests with a head that does not end: most of it comes at
 // once, and then a line from time to time, until the entry closes the connection.
-var endless = func(w http.ResponseWriter, r *http.Request) bool {
+var endless = func(w http.ResponseWriter, _ *http.Request) bool {
 	if rand.Float64() >= endlessPart {
 		return false
 	}
